Reload on SIGHUP: read the file again, move the watch, keep the old one if faulty

Nothing in src/ handled the signal, so its default action ended the process (src/app/wind_down.cpp installs SIGTERM and SIGINT alone). A plain 'read it again' would not move: PROXY_DISCOVERY is set and wins over the file (src/config/config.cpp, told()), but it is as old as the process. A reload lets the file's 'discovery' count. Now: SIGHUP is blocked before the first file is read and let through once its handler stands; the whole file is checked before anything is touched; the watch asks the new address for its whole list, since another discovery counts its versions by itself; the appliance takes over boxes and models and keeps drains. Both new stories fail with the program as it was and pass now.

--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <memory>
 #include <optional>
+#include <utility>
 
 #include "app/log.hpp"
 #include "app/wind_down.hpp"
@@ -51,9 +52,19 @@
   return {connect, idle * 4 / 5, bounds.instances};
 }
 
+// A faulty file changes nothing. `apply` says what it has taken over, and whether that was all that is new.
+void guarded_reload(const std::function<std::pair<std::string, bool>()>& apply) {
+  try {
+    const auto [what, all] = apply();
+    log("reload", what + (all ? "" : "; the rest of what is new there counts from the next start"));
+  } catch (const config::BadConfig& problem) {
+    log("reload", std::string("the old configuration stays: ") + problem.what());
+  }
+}
+
 }  // namespace
 
-void serve(const config::Config& config) {
+void serve(const config::Config& config, const std::function<config::Config()>& reread) {
   const Bounds bounds(config.sockets, config.memory_mb);
   net::Loop loop;
   std::optional<core::Conductor> conductor;
@@ -66,14 +77,22 @@
   net::HttpServer server(
       loop, config.listen,
       [&](std::unique_ptr<net::Incoming> incoming) { front.handle(std::move(incoming)); }, bounds.clients);
-  WindDown wind_down(loop, *conductor, {&server}, kPlatformAccepting, [&] { front.set_ready(false); });
+  const auto reload = [&] {
+    guarded_reload([&] {
+      const config::Config fresh = reread();
+      discovery.move(fresh.discovery);
+      return std::pair("discovery at " + fresh.discovery, fresh.fixed == config.fixed);
+    });
+  };
+  WindDown wind_down(
+      loop, *conductor, {&server}, kPlatformAccepting, [&] { front.set_ready(false); }, reload);
   conductor->news(config.known);  // the known list serves until discovery does
   discovery.open();
   log("start", config.name + " serves at " + config.listen);
   wind_down.run();
 }
 
-void serve(const config::Appliance& appliance) {
+void serve(config::Appliance appliance, const std::function<config::Appliance()>& reread) {
   const Bounds bounds(appliance.sockets, appliance.memory_mb);
   net::Loop loop;
   std::optional<core::Conductor> conductor;
@@ -100,7 +119,17 @@
   if (!appliance.agent_listen.empty()) {
     agent.emplace(loop, appliance.agent_listen, [&] { return page.standing(); });
   }
-  WindDown wind_down(loop, *conductor, servers, kApplianceAccepting, [&] { page.set_ending(); });
+  const auto reload = [&] {
+    guarded_reload([&] {
+      const bool all = appliance.take_over(reread());
+      boxes.reload(appliance);
+      return std::pair(std::to_string(appliance.boxes.size()) + " boxes, " +
+                           std::to_string(appliance.models.size()) + " models",
+                       all);
+    });
+  };
+  WindDown wind_down(
+      loop, *conductor, servers, kApplianceAccepting, [&] { page.set_ending(); }, reload);
   boxes.open();
   log("start", appliance.name + " serves the chat API at " + appliance.listen);
   wind_down.run();
--- a/src/app/wind_down.cpp
+++ b/src/app/wind_down.cpp
@@ -14,21 +14,33 @@
 
 constexpr core::Duration kLookEvery = 20ms;
 
+void mask_reloads(int how) {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGHUP);
+  sigprocmask(how, &signals, nullptr);
+}
+
 }  // namespace
 
+void hold_reloads() { mask_reloads(SIG_BLOCK); }
+
 WindDown::WindDown(net::Loop& loop, const core::Conductor& conductor, std::vector<net::HttpServer*> servers,
-                   core::Duration accepting, std::function<void()> begun)
+                   core::Duration accepting, std::function<void()> begun, std::function<void()> reload)
     : loop_(loop),
       conductor_(conductor),
       servers_(std::move(servers)),
       accepting_(accepting),
-      begun_(std::move(begun)) {}
+      begun_(std::move(begun)),
+      reload_(std::move(reload)) {}
 
 void WindDown::run() {
   std::signal(SIGPIPE, SIG_IGN);
   std::function<void()> told = [this] { begin(); };
   const net::EventPtr term = loop_.on_signal(SIGTERM, &told);
   const net::EventPtr interrupt = loop_.on_signal(SIGINT, &told);
+  const net::EventPtr hang_up = loop_.on_signal(SIGHUP, &reload_);
+  mask_reloads(SIG_UNBLOCK);
   loop_.run();
   const core::Figures& f = conductor_.figures();
   log("stop", "taken " + std::to_string(f.taken) + ", served " + std::to_string(f.served) + ", refused " +
--- a/src/app/wind_down.hpp
+++ b/src/app/wind_down.hpp
@@ -1,4 +1,5 @@
-// Runs the loop until SIGTERM or SIGINT and then until all that was taken is answered.
+// Runs the loop until SIGTERM or SIGINT and then until all that was taken is answered. SIGHUP reloads, at any
+// time.
 #pragma once
 
 #include <functional>
@@ -11,11 +12,15 @@
 
 namespace bankmux::app {
 
+// From here on SIGHUP waits for WindDown::run. Called before anything is read: by default the signal kills, and
+// one that comes early means a file that is newer than what has been read.
+void hold_reloads();
+
 class WindDown {
  public:
   // `accepting`: for how long new connections are still taken, since front layers and balancers notice late.
   WindDown(net::Loop& loop, const core::Conductor& conductor, std::vector<net::HttpServer*> servers,
-           core::Duration accepting, std::function<void()> begun);
+           core::Duration accepting, std::function<void()> begun, std::function<void()> reload);
   void run();
 
  private:
@@ -26,7 +31,7 @@
   const core::Conductor& conductor_;
   std::vector<net::HttpServer*> servers_;
   core::Duration accepting_;
-  std::function<void()> begun_;
+  std::function<void()> begun_, reload_;
   std::unique_ptr<core::Timer> next_;
   bool ending_ = false;
 };
--- a/src/config/appliance.cpp
+++ b/src/config/appliance.cpp
@@ -55,6 +55,14 @@
 
 }  // namespace
 
+bool Appliance::take_over(Appliance fresh) {
+  boxes = std::move(fresh.boxes);
+  check_every = fresh.check_every;
+  default_output = fresh.default_output;
+  if (fresh.classes == classes) models = std::move(fresh.models);
+  return fresh.fixed == fixed;
+}
+
 Appliance read_appliance(const std::string& path) {
   return parse_appliance(read_document("--appliance", path));
 }
@@ -105,6 +113,9 @@
   }
   if (a.boxes.size() > kMostBoxes) f.bad("boxes", "has more than " + std::to_string(kMostBoxes) + " entries");
   f.no_others();
+  json rest = document;
+  for (const char* key : {"boxes", "models", "check_every_s", "default_output_tokens"}) rest.erase(key);
+  a.fixed = std::hash<std::string>{}(rest.dump());
   return a;
 }
 
--- a/src/config/appliance.hpp
+++ b/src/config/appliance.hpp
@@ -37,6 +37,11 @@
   std::size_t sockets = 1024;
   std::size_t memory_mb = 192;
   eiderarch::Settings module;
+  std::size_t fixed = 0;  // of all that counts from the start alone; differs where any of it does
+
+  // Takes the boxes, the models and what goes with them from a file read later. False where that holds more
+  // that is new; with other classes the old models stay, for they name their class by its place.
+  bool take_over(Appliance fresh);
 };
 
 // Both throw BadConfig naming the faulty key.
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,5 +1,7 @@
 #include "config/config.hpp"
 
+#include <string_view>
+
 #include "codec.hpp"
 #include "config/address.hpp"
 
@@ -47,6 +49,12 @@
   return parse_config(read_document("PROXY_CONFIG", path), environment);
 }
 
+Config reread_config(const Environment& environment) {
+  return read_config([&environment](const char* name) {
+    return std::string_view(name) == "PROXY_DISCOVERY" ? nullptr : environment(name);
+  });
+}
+
 Config parse_config(const json& document, const Environment& environment) {
   const Fields f(document, "");
   Config c;
@@ -70,6 +78,8 @@
     throw BadConfig(std::string("settings: ") + problem.what());
   }
   if (c.module.kinds.size() != c.kinds.size()) settings.bad("familyInfo.dutyByKind", "does not fit 'skus'");
+  c.fixed = std::hash<std::string>{}(c.name + ' ' + c.listen + ' ' + document.value("limits", json()).dump() +
+                                     document.at("settings").dump());
   c.stream_reports = c.module.report_mode == eiderarch::ReportMode::answers;
   if (document.contains("known")) {
     try {
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -28,12 +28,16 @@
   bool stream_reports = false;  // answers hold load reports
   core::FleetNews known;
   std::uint64_t known_version = 0;
+  std::size_t fixed = 0;  // of all that counts from the start alone; differs where any of it does
 };
 
 using Environment = std::function<const char*(const char*)>;
 
-// Throws BadConfig.
+// Both throw BadConfig.
 Config read_config(const Environment& environment);
+// Again while the program runs: the environment is as old as the process and the file is newer, so the file's
+// `discovery` counts.
+Config reread_config(const Environment& environment);
 Config parse_config(const nlohmann::json& document, const Environment& environment);
 
 // One object of discovery's: the whole list or changes. Throws eiderarch::wire::MalformedInput.
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -4,6 +4,7 @@
 
 #include "app/console.hpp"
 #include "app/serve.hpp"
+#include "app/wind_down.hpp"
 #include "config/config.hpp"
 
 namespace {
@@ -43,10 +44,13 @@
       std::printf("ok: listens at %s\n", listen.c_str());
     }
     if (serve->parsed()) {
+      bankmux::app::hold_reloads();
       if (appliance.empty()) {
-        bankmux::app::serve(config::read_config(environment));
+        bankmux::app::serve(config::read_config(environment),
+                            [] { return config::reread_config(environment); });
       } else {
-        bankmux::app::serve(config::read_appliance(appliance));
+        bankmux::app::serve(config::read_appliance(appliance),
+                            [&] { return config::read_appliance(appliance); });
       }
     }
   } catch (const config::BadConfig& problem) {
--- a/src/net/box_watch.hpp
+++ b/src/net/box_watch.hpp
@@ -20,6 +20,9 @@
 
   // Lists every box as running, then asks.
   void open();
+  // Follows these boxes from now on. Those that were there under the same name and address keep what is known
+  // of them, drains included.
+  void reload(const config::Appliance& appliance);
   void subscribe() override {}
   void fetch() override { tell(); }
   // Takes a box out of service, or back; false where there is none of that name.
@@ -34,15 +37,17 @@
     bool drained = false;
     int failures = 0;
   };
+  void follow(const config::Appliance& appliance);
   void ask();
-  void heard(Box& box, bool runs);
+  void heard(const core::Target& target, bool runs);
+  [[nodiscard]] Box* find(const std::string& id);
   void tell();
 
   core::Scheduler& scheduler_;
   core::Instances& instances_;
   core::Duration every_;
   News news_;
-  std::vector<Box> boxes_;  // never resized once built
+  std::vector<Box> boxes_;
   std::unique_ptr<core::Timer> next_;
 };
 
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -20,13 +20,14 @@
 }  // namespace
 
 DiscoveryWatch::DiscoveryWatch(Loop& loop, const config::Config& config, News news)
-    : loop_(loop), config_(config), news_(std::move(news)), version_(config.known_version) {}
+    : loop_(loop), config_(config), address_(config.discovery), news_(std::move(news)), version_(config.known_version) {}
 
 DiscoveryWatch::~DiscoveryWatch() = default;
 
 void DiscoveryWatch::open() {
-  const auto at = config::Address::parse(config_.discovery);
+  const auto at = config::Address::parse(address_);
   pending_.clear();
+  retry_.reset();
   connection_.reset(
       evhttp_connection_base_bufferevent_new(loop_.base(), nullptr, nullptr, at->host.c_str(), at->port));
   if (!connection_) return again(kOpenAgain);
@@ -39,7 +40,7 @@
   evhttp_request_set_chunked_cb(request, [](evhttp_request* answer, void* self) {
     guarded("discovery", [&] { static_cast<DiscoveryWatch*>(self)->read(answer); });
   });
-  evhttp_add_header(evhttp_request_get_output_headers(request), "Host", config_.discovery.c_str());
+  evhttp_add_header(evhttp_request_get_output_headers(request), "Host", address_.c_str());
   std::string path = "/api/targets?follow=1";
   if (!whole_) path += "&since=" + std::to_string(version_);
   if (evhttp_make_request(connection_.get(), request, EVHTTP_REQ_GET, path.c_str()) != 0) again(kOpenAgain);
@@ -50,6 +51,14 @@
   again(0ms);
 }
 
+void DiscoveryWatch::move(const std::string& address) {
+  address_ = address;
+  // Another discovery counts its versions by itself: changes after one of the old one's mean nothing there.
+  whole_ = true;
+  version_ = 0;
+  open();
+}
+
 void DiscoveryWatch::again(core::Duration wait) {
   // Opened from the loop: the old connection may be what is calling.
   retry_ = loop_.at(loop_.now() + wait, [this] { open(); });
--- a/src/net/discovery_watch.hpp
+++ b/src/net/discovery_watch.hpp
@@ -18,6 +18,8 @@
   ~DiscoveryWatch() override;
 
   void open();
+  // Leaves the present address for this one and takes its whole list; the old list serves until it is there.
+  void move(const std::string& address);
   void subscribe() override {}  // the watch is always open
   void fetch() override;
 
@@ -28,6 +30,7 @@
 
   Loop& loop_;
   const config::Config& config_;
+  std::string address_;
   News news_;
   std::uint64_t version_;
   bool whole_ = false;  // ask for the whole list
--- a/tests/stories/appliance_stories.cpp
+++ b/tests/stories/appliance_stories.cpp
@@ -1,5 +1,7 @@
 // The appliance: the OpenAI-style front, its boxes, balancer checks and console. No bench.
 #include <catch2/catch.hpp>
+#include <csignal>
+#include <fstream>
 #include <nlohmann/json.hpp>
 
 #include "app/console.hpp"
@@ -47,11 +49,19 @@
     for (std::size_t i = 0; i < boxes.size(); ++i) {
       file["boxes"].push_back({{"id", "b" + std::to_string(i + 1)}, {"address", boxes[i]}});
     }
+    file_ = file;
+    path_ = temporary_file(file.dump());
     program_ = std::make_unique<Program>(
-        std::vector<std::string>{"serve", "--appliance", temporary_file(file.dump())},
+        std::vector<std::string>{"serve", "--appliance", path_},
         std::map<std::string, std::string>{});
     if (!Program::listens(chat_)) throw std::runtime_error("the program does not serve");
   }
+  // Replaces the file and sends SIGHUP.
+  void reload(const json& file) const {
+    std::ofstream(path_) << file.dump();
+    program_->send_signal(SIGHUP);
+  }
+  [[nodiscard]] const json& file() const { return file_; }
   [[nodiscard]] std::unique_ptr<Wire> connect() const { return Wire::to(chat_); }
   [[nodiscard]] static std::string request(const std::string& body) {
     return "POST /v1/chat/completions HTTP/1.1\r\nHost: caja\r\nConnection: close\r\nContent-Length: " +
@@ -88,6 +98,8 @@
 
  private:
   std::string chat_ = own_address(), page_ = own_address(), agent_ = own_address();
+  json file_;
+  std::string path_;
   std::unique_ptr<Program> program_;
 };
 
@@ -305,6 +317,30 @@
   CHECK(seen.all() == std::vector<std::string>(4, "two"));
 }
 
+TEST_CASE("SIGHUP: the appliance takes over boxes and models, keeps drains, and keeps all if the file is faulty") {
+  Record first, second;
+  const auto answer = [](Wire& wire, const Message&) {
+    wire.send(events({"{}", "[DONE]"}));
+    return true;
+  };
+  Peer one(box(first, answer)), two(box(second, answer));
+  Appliance appliance({one.address()});
+  CHECK(appliance.page("POST", "/-/boxes/b1/drain").starts_with("HTTP/1.1 204"));
+  json fresh = appliance.file();
+  fresh["boxes"].push_back({{"id", "b2"}, {"address", two.address()}});
+  fresh["models"].push_back({{"name", "m-new"}, {"class", "consulta"}});
+  appliance.reload(fresh);
+  for (int i = 0; i < 250 && !has(appliance.get("/v1/models"), "m-new"); ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  CHECK(has(appliance.chat(Appliance::body("m-new", true)), "[DONE]"));
+  CHECK(first.count(kChat) == 0);
+  CHECK(second.count(kChat) == 1);
+  fresh["boxes"] = json::array();
+  appliance.reload(fresh);
+  CHECK(has(appliance.chat(Appliance::body("m-new", true)), "[DONE]"));
+}
+
 TEST_CASE("The console's picture marks the chosen box and fits the terminal") {
   const json status = json::parse(R"({"name":"caja","standing":"up 75%","uptime_s":61.5,
     "requests":{"open":3,"most":10,"taken":9,"served":5,"refused":1,"failed":0,"broken":0,"client_gone":0,
--- a/tests/stories/peers.cpp
+++ b/tests/stories/peers.cpp
@@ -236,7 +236,9 @@
   return false;
 }
 
-void Program::terminate() const { kill(pid_, SIGTERM); }
+void Program::send_signal(int number) const { kill(pid_, number); }
+
+void Program::terminate() const { send_signal(SIGTERM); }
 
 int Program::wait() {
   int status = 0;
--- a/tests/stories/peers.hpp
+++ b/tests/stories/peers.hpp
@@ -97,6 +97,7 @@
   Program& operator=(const Program&) = delete;
   // Waits until something listens at the address.
   [[nodiscard]] static bool listens(const std::string& address);
+  void send_signal(int number) const;
   void terminate() const;
   // Its exit code, once it has ended.
   int wait();
--- a/tests/stories/platform_stories.cpp
+++ b/tests/stories/platform_stories.cpp
@@ -1,5 +1,7 @@
 // The platform's protocol, one story for each way in which it can go wrong. No bench.
+#include <atomic>
 #include <catch2/catch.hpp>
+#include <csignal>
 
 #include "platform_world.hpp"
 
@@ -313,3 +315,49 @@
   CHECK(idle->closed_within(3000));
   CHECK(platform.program().wait() == 0);
 }
+
+TEST_CASE("SIGHUP: a faulty file changes nothing; a good one moves the watch, and no request is lost") {
+  Record seen, watches;
+  std::atomic<bool> go_on{false};
+  Peer old_box(instance(seen, [&](Wire& wire, const Message&) {
+    wire.send(stream_head() + chunk("data: 1\n\n"));
+    for (int i = 0; i < 500 && !go_on; ++i) std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    wire.send(chunk("data: [DONE]\n\n") + "0\r\n\r\n");
+    return true;
+  }));
+  Peer new_box(instance(seen, [&](Wire& wire, const Message&) {
+    wire.send(events({"new", "[DONE]"}));
+    return true;
+  }));
+  // A discovery that counts its versions from below what the program knows.
+  Peer moved([&](Wire& wire) {
+    const auto request = wire.receive();
+    wire.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+              chunk(Platform::line(0, true, {{"n", "mixto", new_box.address()}}) + "\n"));
+    watches.add(request ? request->first : "");
+    while (!wire.closed_within(1000)) {
+    }
+  });
+  Platform platform({{"o", "mixto", old_box.address()}});
+  REQUIRE(platform.watches.wait_for("GET /api/targets?follow=1&since=1 HTTP/1.1"));
+  const auto client = platform.connect();
+  client->send(client_request("h1", "ajuste"));
+  CHECK(has(client->receive_until("data: 1"), " 200 "));
+
+  platform.reload("{\"discovery\": 7");
+  CHECK(platform.ask("GET /-/ready HTTP/1.1\r\nConnection: close\r\n\r\n").starts_with("HTTP/1.1 200"));
+  CHECK(platform.watches.all().size() == 1);
+
+  nlohmann::json fresh = platform.config();
+  fresh["discovery"] = moved.address();
+  platform.reload(fresh.dump());
+  platform.reload(fresh.dump());
+  REQUIRE(watches.wait_for("GET /api/targets?follow=1 HTTP/1.1"));
+  go_on = true;
+  CHECK(client->receive_all().ends_with("0\r\n\r\n"));
+  CHECK(has(platform.ask(client_request("h2", "consulta")), "data: new"));
+
+  platform.program().terminate();
+  platform.program().send_signal(SIGHUP);
+  CHECK(platform.program().wait() == 0);
+}
--- a/tests/stories/platform_world.cpp
+++ b/tests/stories/platform_world.cpp
@@ -1,6 +1,8 @@
 #include "platform_world.hpp"
 
+#include <csignal>
 #include <cstdio>
+#include <fstream>
 
 namespace stories {
 
@@ -66,9 +68,11 @@
                        {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 512}}},
                        {"known", json::parse(line(1, true, known))},
                        {"settings", settings}};
+  config_ = config;
+  file_ = temporary_file(config.dump());
   program_ = std::make_unique<Program>(
       std::vector<std::string>{"serve"},
-      std::map<std::string, std::string>{{"PROXY_CONFIG", temporary_file(config.dump())}});
+      std::map<std::string, std::string>{{"PROXY_CONFIG", file_}, {"PROXY_DISCOVERY", discovery_->address()}});
   if (!Program::listens(listen_)) throw std::runtime_error("the program does not serve");
 }
 
@@ -85,6 +89,11 @@
   changed_.notify_all();
 }
 
+void Platform::reload(const std::string& content) const {
+  std::ofstream(file_) << content;
+  program_->send_signal(SIGHUP);
+}
+
 std::string Platform::ask(const std::string& request) const {
   const auto wire = connect();
   wire->send(request);
--- a/tests/stories/platform_world.hpp
+++ b/tests/stories/platform_world.hpp
@@ -25,6 +25,9 @@
                           const std::string& state = "SERVING");
   void push(const std::string& line);
   void break_watch();
+  // Replaces the configuration and sends SIGHUP.
+  void reload(const std::string& content) const;
+  [[nodiscard]] const nlohmann::json& config() const { return config_; }
 
   [[nodiscard]] std::unique_ptr<Wire> connect() const { return Wire::to(listen_); }
   // Sends one request and gives the whole answer as it came.
@@ -36,6 +39,8 @@
 
  private:
   std::string listen_ = own_address();
+  nlohmann::json config_;
+  std::string file_;
   std::mutex mutex_;
   std::condition_variable changed_;
   std::vector<std::string> lines_;
