Take new connections to instances where kept ones break under requests

Ruled out: silent instances (nothing timed out), the check before reuse (still_quiet finds what has closed already; these close or reset as the request is written), the idle limit (breaks come at any age). At fault: src/net/instance_pool.cpp, Exchange's constructor took any idle connection for any request. Now the pool notes how kept connections fare: after a break what must not run twice takes a new one for 46 s, and where a tenth break all do.

--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -279,8 +279,12 @@
   });
   if (reader) may_hold(r, order.engine);
   r.engine = order.engine;
+  const std::uint32_t cls = r.ask.facts.request_class;
+  const bool repeatable = reader || (cls < settings_.module.classes.size() &&
+                                     settings_.module.classes[cls].effect == eiderarch::Effect::safe);
   r.attempt = instances_.start(
-      member->target, r.ask.payload, patience, [this, engine = order.engine] { return may_send(engine); }, r);
+      member->target, r.ask.payload, patience, repeatable,
+      [this, engine = order.engine] { return may_send(engine); }, r);
   return true;
 }
 
--- a/src/core/ports.hpp
+++ b/src/core/ports.hpp
@@ -103,9 +103,11 @@
 class Instances {
  public:
   virtual ~Instances() = default;
-  // `may_write` is asked once the connection is up, before the first byte.
+  // `may_write` is asked once the connection is up, before the first byte. `repeatable`: should its
+  // connection break, the request may be sent again.
   [[nodiscard]] virtual std::unique_ptr<Attempt> start(const Target& target, const PayloadPtr& payload,
-                                                       Duration patience, std::function<bool()> may_write,
+                                                       Duration patience, bool repeatable,
+                                                       std::function<bool()> may_write,
                                                        AttemptEvents& events) = 0;
   // Asks a writer to hold a place.
   virtual void claim(const Target& target, const PayloadPtr& payload, std::function<bool()> may_write,
--- a/src/net/instance_client.cpp
+++ b/src/net/instance_client.cpp
@@ -54,12 +54,13 @@
 class HttpAttempt : public core::Attempt, private Exchange::Events {
  public:
   HttpAttempt(InstancePool& pool, const core::Target& target, const core::Payload& payload, Duration patience,
-              std::function<bool()> may_write, core::AttemptEvents& events, Dialect dialect)
+              bool repeatable, std::function<bool()> may_write, core::AttemptEvents& events, Dialect dialect)
       : may_write_(std::move(may_write)),
         events_(events),
         dialect_(dialect),
         streamed_(payload.streamed),
-        exchange_(pool, target.address, request_text(target, payload, patience, dialect), *this) {}
+        exchange_(pool, target.address, request_text(target, payload, patience, dialect), repeatable, *this) {
+  }
 
   [[nodiscard]] Progress progress() const override { return exchange_.progress(); }
 
@@ -164,7 +165,7 @@
       : may_write_(std::move(may_write)),
         done_(std::move(done)),
         limit_(loop.at(loop.now() + kCallPatience, [this] { on_end(false); })),
-        exchange_(std::make_unique<Exchange>(pool, address, std::move(request), *this)) {}
+        exchange_(std::make_unique<Exchange>(pool, address, std::move(request), true, *this)) {}
 
   [[nodiscard]] const ResponseParser& response() const { return exchange_->response(); }
   [[nodiscard]] Progress progress() const { return exchange_->progress(); }
@@ -206,10 +207,10 @@
 
 std::unique_ptr<core::Attempt> InstanceClient::start(const core::Target& target,
                                                      const core::PayloadPtr& payload, Duration patience,
-                                                     std::function<bool()> may_write,
+                                                     bool repeatable, std::function<bool()> may_write,
                                                      core::AttemptEvents& events) {
-  return std::make_unique<HttpAttempt>(pool_, target, *payload, patience, std::move(may_write), events,
-                                       dialect_);
+  return std::make_unique<HttpAttempt>(pool_, target, *payload, patience, repeatable, std::move(may_write),
+                                       events, dialect_);
 }
 
 void InstanceClient::claim(const core::Target& target, const core::PayloadPtr& payload,
--- a/src/net/instance_client.hpp
+++ b/src/net/instance_client.hpp
@@ -24,8 +24,8 @@
   ~InstanceClient() override;
 
   std::unique_ptr<core::Attempt> start(const core::Target& target, const core::PayloadPtr& payload,
-                                       core::Duration patience, std::function<bool()> may_write,
-                                       core::AttemptEvents& events) override;
+                                       core::Duration patience, bool repeatable,
+                                       std::function<bool()> may_write, core::AttemptEvents& events) override;
   void claim(const core::Target& target, const core::PayloadPtr& payload, std::function<bool()> may_write,
              std::function<void(core::ClaimAnswer)> done) override;
   void release(const core::Target& target, const core::PayloadPtr& payload,
--- a/src/net/instance_pool.cpp
+++ b/src/net/instance_pool.cpp
@@ -5,6 +5,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <cmath>
 #include <utility>
 
 namespace bankmux::net {
@@ -25,18 +26,25 @@
   return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+// How far kept connections are trusted.
+constexpr double kKeptFade = 20e6;     // microseconds in which what was seen fades
+constexpr double kMostBroken = 0.1;    // share that breaks, up to which repeatable requests use them
+constexpr double kFirstGood = 10.0;    // requests taken to have gone well before anything was seen
+constexpr double kRestOfBroken = 0.1;  // of one break: after 46 s the others use them again
+
 }  // namespace
 
 // ---- Exchange ----
 
-Exchange::Exchange(InstancePool& pool, std::string address, std::string request, Events& events)
+Exchange::Exchange(InstancePool& pool, std::string address, std::string request, bool repeatable,
+                   Events& events)
     : pool_(pool), address_(std::move(address)), request_(std::move(request)), events_(events) {
-  connection_ = pool_.take_idle(address_);
-  const bool reused = connection_ != nullptr;
-  if (!reused) connection_ = pool_.connect(address_);
-  if (connection_ == nullptr || reused) {
+  if (pool_.trusts_kept(repeatable)) connection_ = pool_.take_idle(address_);
+  reused_ = connection_ != nullptr;
+  if (!reused_) connection_ = pool_.connect(address_);
+  if (connection_ == nullptr || reused_) {
     // Told from the loop, for nothing may call back from here.
-    limit_ = pool_.loop_.at(pool_.loop_.now(), [this, reused] { reused ? connected() : end(false); });
+    limit_ = pool_.loop_.at(pool_.loop_.now(), [this] { reused_ ? connected() : end(false); });
   } else {
     limit_ = pool_.loop_.at(pool_.loop_.now() + pool_.limits_.connect, [this] { end(false); });
   }
@@ -95,6 +103,8 @@
   evbuffer* input = bufferevent_get_input(connection_.get());
   std::string bytes(evbuffer_get_length(input), '\0');
   evbuffer_remove(input, bytes.data(), bytes.size());
+  if (reused_ && !heard_) pool_.note_kept(true);
+  heard_ = true;
   std::string body;
   const std::size_t used = parser_.feed(bytes, body);
   if (parser_.state() == ResponseParser::State::bad) return end(false);
@@ -118,7 +128,7 @@
     destroyed_ = nullptr;
   }
   if (parser_.state() != ResponseParser::State::done) return;
-  if (parser_.keep_alive() && used == bytes.size() && !early) {
+  if (pool_.trusts_kept(true) && parser_.keep_alive() && used == bytes.size() && !early) {
     pool_.keep(address_, std::move(connection_));
   }
   end(true);
@@ -129,6 +139,7 @@
   if (connection_ != nullptr && evbuffer_get_length(bufferevent_get_input(connection_.get())) > 0) {
     return readable();
   }
+  if (reused_ && !heard_) pool_.note_kept(false);
   end(parser_.finish());
 }
 
@@ -150,6 +161,23 @@
 
 InstancePool::~InstancePool() = default;
 
+// A server may close a kept connection just as the next request is written, or something in between may reset
+// it: that request may have run. Where this happens, one that must not run twice takes a new connection, and
+// where it happens often all do, until what was seen has faded. New ones cost the instances work, so not
+// without need.
+bool InstancePool::trusts_kept(bool repeatable) const {
+  const double fade = std::exp(-double((loop_.now() - kept_at_).count()) / kKeptFade);
+  const double bad = kept_bad_ * fade;
+  return repeatable ? bad <= kMostBroken * (kept_good_ * fade + bad + kFirstGood) : bad < kRestOfBroken;
+}
+
+void InstancePool::note_kept(bool lived) {
+  const double fade = std::exp(-double((loop_.now() - kept_at_).count()) / kKeptFade);
+  kept_good_ = kept_good_ * fade + (lived ? 1.0 : 0.0);
+  kept_bad_ = kept_bad_ * fade + (lived ? 0.0 : 1.0);
+  kept_at_ = loop_.now();
+}
+
 BufferEventPtr InstancePool::take_idle(const std::string& address) {
   const auto it = idle_.find(address);
   while (it != idle_.end() && !it->second.empty()) {
--- a/src/net/instance_pool.hpp
+++ b/src/net/instance_pool.hpp
@@ -32,7 +32,7 @@
     virtual void on_end(bool whole) = 0;
   };
 
-  Exchange(InstancePool& pool, std::string address, std::string request, Events& events);
+  Exchange(InstancePool& pool, std::string address, std::string request, bool repeatable, Events& events);
   ~Exchange();
   Exchange(const Exchange&) = delete;
   Exchange& operator=(const Exchange&) = delete;
@@ -56,6 +56,8 @@
   BufferEventPtr connection_;
   std::unique_ptr<core::Timer> limit_;
   ResponseParser parser_;
+  bool reused_ = false;
+  bool heard_ = false;  // any byte of a response
   core::Progress progress_ = core::Progress::not_connected;
   bool* destroyed_ = nullptr;  // set while an event is told that may destroy this
 };
@@ -79,6 +81,9 @@
     BufferEventPtr connection;
   };
 
+  // Whether kept connections have lately lived to their next answer, well enough for such a request.
+  [[nodiscard]] bool trusts_kept(bool repeatable) const;
+  void note_kept(bool lived);
   BufferEventPtr take_idle(const std::string& address);
   BufferEventPtr connect(const std::string& address);
   void keep(const std::string& address, BufferEventPtr connection);
@@ -86,6 +91,9 @@
 
   Loop& loop_;
   PoolLimits limits_;
+  // Requests on kept connections that were answered, and that broke unanswered; fading, as of `kept_at_`.
+  double kept_good_ = 0.0, kept_bad_ = 0.0;
+  core::Time kept_at_{0};
   std::size_t open_ = 0;                         // idle ones too
   std::map<std::string, std::list<Idle>> idle_;  // the latest used in front
 };
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -76,7 +76,7 @@
     }
     [[nodiscard]] Progress progress() const override { return at; }
   };
-  std::unique_ptr<Attempt> start(const Target& target, const PayloadPtr&, Duration,
+  std::unique_ptr<Attempt> start(const Target& target, const PayloadPtr&, Duration, bool,
                                  std::function<bool()> may_write, AttemptEvents& events) override {
     CHECK(out == nullptr);  // never two attempts out
     return std::make_unique<Out>(*this, target.id, events, std::move(may_write));
--- a/tests/stories/platform_stories.cpp
+++ b/tests/stories/platform_stories.cpp
@@ -339,6 +339,35 @@
   CHECK(keep(220, ask) == 220);
 }
 
+TEST_CASE("Once a kept connection has broken under a request, no ajuste is written to another one") {
+  Record seen;
+  // Answers once on each connection and resets it when the next request has come.
+  Peer only([&](Wire& wire) {
+    for (int asked = 0; const auto request = wire.receive(); ++asked) {
+      if (request->first.starts_with("DELETE")) {
+        wire.send(simple("204 No Content"));
+        continue;
+      }
+      if (asked > 0) {
+        seen.add("broke");
+        return wire.reset();
+      }
+      wire.send(events({"[DONE]"}));
+    }
+  });
+  Platform platform({{"w", "mixto", only.address()}});
+  for (int i = 0; i < 2; ++i) {
+    CHECK(platform.ask(client_request("c" + std::to_string(i), "consulta", 5000, 100))
+              .starts_with("HTTP/1.1 200"));
+  }
+  CHECK(seen.count("broke") == 1);
+  for (int i = 0; i < 4; ++i) {
+    CHECK(platform.ask(client_request("a" + std::to_string(i), "ajuste", 5000, 100))
+              .starts_with("HTTP/1.1 200"));
+  }
+  CHECK(seen.count("broke") == 1);
+}
+
 TEST_CASE("What a client got wrong costs no instance its good name, and no other client its request") {
   Record seen;
   std::atomic<bool> go_on{false};
