Keep no client's connection beyond its answer once three quarters of the places are taken

Ruled out: the instances (no failed attempts in the logs), discovery, CPU (0.06 s in the worst second), the start of the new process (up at once). The descriptors stood at 437 to 461 of 768: the clients' part was full. A log line of the connections by phase, added for that and kept, gave the cause: '7 silent, 356 idle, 24 answering'. Clients that ask once and stay come at one conductor faster than the 2 s are over after which it may close them (src/net/http_server.cpp kForRoom), so new connections waited in the kernel's queue. Now: above three quarters an answer says Connection: close and the connection closes with it, at once where its request was read whole; connections that are ending make room first.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -178,11 +178,11 @@
   const std::string text = std::string(reason(status)) + "\n";
   head(status, more, "Content-Length: " + std::to_string(text.size()) + "\r\n");
   write(text);
-  answered();
+  answered(false);
 }
 
 void HttpConnection::head(int status, const Headers& headers, const std::string& framing) {
-  if (server_.winding_down_) last_ = true;
+  if (server_.winding_down_ || server_.crowded()) last_ = true;
   std::string text = "HTTP/1.1 " + std::to_string(status) + ' ' + reason(status) + "\r\n";
   for (const auto& [name, value] : headers) text += name + ": " + value + "\r\n";
   write(text + framing + (last_ ? "Connection: close\r\n\r\n" : "\r\n"));
@@ -192,9 +192,9 @@
   bufferevent_write(stream_.get(), bytes.data(), bytes.size());
 }
 
-void HttpConnection::answered() {
+void HttpConnection::answered(bool whole) {
   give_back(counted_);
-  if (last_) return finish();
+  if (last_) return finish(whole);
   enter(Phase::idle);
   // The next request may have come already; it is read from the loop, for the handler may be what is calling.
   if (evbuffer_get_length(bufferevent_get_input(stream_.get())) > 0) {
@@ -207,9 +207,11 @@
   counted_ -= bytes;
 }
 
-// The last answer: once it is out, the end of this side is told, and the client's side awaited for a moment.
-void HttpConnection::finish() {
+// The last answer: once it is out this closes, but where more of the request may come, the end of this side
+// is told and the client's awaited for a moment.
+void HttpConnection::finish(bool whole) {
   enter(Phase::ending);
+  if (whole && quiet()) cut_ = true;
   if (evbuffer_get_length(bufferevent_get_output(stream_.get())) == 0) {
     bufferevent_trigger(stream_.get(), EV_WRITE, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
   }
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -36,9 +36,9 @@
   void refuse(int status, const Headers& more = {});
   void head(int status, const Headers& headers, const std::string& framing);
   void write(std::string_view bytes);
-  // After an answer: the next request, or the end.
-  void answered();
-  void finish();
+  // After an answer: the next request, or the end. `whole`: its request has been read to its last byte.
+  void answered(bool whole = true);
+  void finish(bool whole);
   void enter(Phase phase);
   void give_back(std::size_t bytes);
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -22,7 +22,13 @@
   Phase phase;
   core::Duration after;
 };
-constexpr ForRoom kForRoom[] = {{Phase::idle, 2s}, {Phase::silent, 100ms}, {Phase::reading, 1s}};
+constexpr std::pair<Phase, const char*> kPhaseNames[] = {{Phase::silent, "silent"},
+                                                         {Phase::idle, "idle"},
+                                                         {Phase::reading, "reading"},
+                                                         {Phase::answering, "answering"},
+                                                         {Phase::ending, "ending"}};
+constexpr ForRoom kForRoom[] = {
+    {Phase::ending, 100ms}, {Phase::idle, 2s}, {Phase::silent, 100ms}, {Phase::reading, 1s}};
 
 }  // namespace
 
@@ -50,6 +56,7 @@
   if (connections_.size() < limits_.connections || make_room()) return;
   // The next one waits in the kernel's queue until there is room: closed at once it would be lost, and most
   // of those that fill the room are gone soon.
+  app::log("server", "no room for more connections; held: " + census());
   evconnlistener_disable(listener_.get());
   look_again_ = loop_.at(loop_.now() + kLookForRoom, [this] { look(); });
 }
@@ -64,7 +71,8 @@
     for (std::size_t i = 0; i < std::size(kForRoom) && i <= rank; ++i) {
       if (connection->phase() != kForRoom[i].phase || connection->age(now) < kForRoom[i].after) continue;
       // What lies unread is a request that is still to be answered.
-      if (i < 2 && !connection->quiet()) continue;
+      const bool rests = kForRoom[i].phase == Phase::idle || kForRoom[i].phase == Phase::silent;
+      if (rests && !connection->quiet()) continue;
       if (i == rank && connection->age(now) <= victim->age(now)) continue;
       victim = connection;
       rank = i;
@@ -87,6 +95,16 @@
   look_again_ = loop_.at(now + (room ? kLookEvery : kLookForRoom), [this] { look(); });
 }
 
+std::string HttpServer::census() const {
+  std::map<Phase, int> count;
+  for (const auto& [connection, owner] : connections_) ++count[connection->phase()];
+  std::string text;
+  for (const auto& [phase, name] : kPhaseNames) {
+    text += (text.empty() ? "" : ", ") + std::to_string(count[phase]) + ' ' + name;
+  }
+  return text;
+}
+
 void HttpServer::stop_listening() { listener_.reset(); }
 
 void HttpServer::close_idle() {
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -86,6 +86,9 @@
   friend class HttpConnection;
   friend class Incoming;
   void accept(evutil_socket_t socket);
+  // So little room is left that no connection is kept beyond its answer.
+  [[nodiscard]] bool crowded() const { return connections_.size() * 4 > limits_.connections * 3; }
+  [[nodiscard]] std::string census() const;  // how many connections are in which phase
   bool make_room();
   void look();
   void close(HttpConnection& connection);
--- a/tests/stories/platform_stories.cpp
+++ b/tests/stories/platform_stories.cpp
@@ -368,6 +368,24 @@
   CHECK(seen.count("broke") == 1);
 }
 
+TEST_CASE("Where connections are nearly used up, none is kept beyond its answer; before that they are kept") {
+  Platform platform({});
+  std::vector<std::unique_ptr<Wire>> kept;
+  const auto last_answer_ends_it = [&](int count) {
+    Message answer;
+    for (int i = 0; i < count; ++i) {
+      kept.push_back(platform.connect());
+      kept.back()->send("GET /-/ready HTTP/1.1\r\n\r\n");
+      answer = kept.back()->receive_head();
+    }
+    return answer.status() == 200 && answer.headers.contains("connection") &&
+           kept.back()->closed_within(3000);
+  };
+  CHECK_FALSE(last_answer_ends_it(100));
+  CHECK(last_answer_ends_it(120));  // of about 250 that the limits of this platform leave for clients
+  CHECK(kept.front()->closed_within(0) == false);
+}
+
 TEST_CASE("What a client got wrong costs no instance its good name, and no other client its request") {
   Record seen;
   std::atomic<bool> go_on{false};
