--- a/tests/stories/peers.cpp
+++ b/tests/stories/peers.cpp
@@ -194,6 +194,11 @@
   return int(std::ranges::count(seen_, what));
 }
 
+void Record::clear() {
+  const std::lock_guard lock(mutex_);
+  seen_.clear();
+}
+
 std::vector<std::string> Record::all() {
   const std::lock_guard lock(mutex_);
   return seen_;
--- a/tests/stories/peers.hpp
+++ b/tests/stories/peers.hpp
@@ -81,6 +81,7 @@
   bool wait_for(const std::string& what, int count = 1, int ms = 5000);
   [[nodiscard]] int count(const std::string& what);
   [[nodiscard]] std::vector<std::string> all();
+  void clear();
 
  private:
   std::mutex mutex_;
--- a/tests/stories/platform_stories.cpp
+++ b/tests/stories/platform_stories.cpp
@@ -368,6 +368,52 @@
   CHECK(seen.count("broke") == 1);
 }
 
+TEST_CASE(
+    "A spoilt answer is a failed attempt that may have run; one spoilt after its first event ends the "
+    "client") {
+  Record seen;
+  const std::map<std::string, std::string> spoilt = {
+      {"noise", "\x16\x03 noise"},
+      {"unending", "HTTP/1.1 200 OK\r\nX-More: "},
+      {"huge", stream_head() + "c0000000\r\ndata: x\n\n"},
+      {"late", stream_head() + chunk("data: 1\n\n")},
+  };
+  const auto script = [&](Wire& wire, const Message& m) {
+    const std::string& txn = m.headers.at("x-txn");
+    const std::string kind = txn.substr(txn.find('-') + 1);
+    const bool first = seen.count(kChat) == 1;
+    if (spoilt.contains(kind) && first) {
+      wire.send(spoilt.at(kind));
+      if (kind == "late") {
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));  // what comes with it was not passed on
+        wire.send("zz\r\n");
+      }
+      if (wire.closed_within(4000)) seen.add("closed");
+      return false;
+    }
+    // More than belongs to it: interim answers ahead, a second answer behind.
+    wire.send("HTTP/1.1 102 Processing\r\n\r\n" + events({"[DONE]"}) + events({"stray"}));
+    return true;
+  };
+  Peer one(instance(seen, script)), two(instance(seen, script));
+  for (const auto& [kind, text] : spoilt) {
+    CAPTURE(kind);
+    Platform platform({{"a", "mixto", one.address()}, {"b", "mixto", two.address()}});
+    seen.clear();
+    const std::string safe = platform.ask(client_request("c-" + kind, "consulta", 5000, 100));
+    CHECK(seen.wait_for("closed"));
+    CHECK(seen.count(kChat) == (kind == "late" ? 1 : 2));
+    CHECK(safe.ends_with("0\r\n\r\n") == (kind != "late"));
+    CHECK_FALSE(has(safe, "stray"));
+    seen.clear();
+    const std::string once = platform.ask(client_request("a-" + kind, "ajuste", 5000, 100));
+    CHECK(seen.wait_for("closed"));
+    CHECK(seen.count(kChat) == 1);
+    CHECK(once.starts_with(kind == "late" ? "HTTP/1.1 200" : "HTTP/1.1 502"));
+    CHECK_FALSE(once.ends_with("0\r\n\r\n"));
+  }
+}
+
 TEST_CASE("Where connections are nearly used up, none is kept beyond its answer; before that they are kept") {
   Platform platform({});
   std::vector<std::unique_ptr<Wire>> kept;
