Split src/net by concern; log JSON lines on spdlog from below it

Need: src/net was flat with 18 files and logged through src/app, which stands above it; lines were fprintf text that no tool reads. The second front is about to grow (docs/chat-api-design.md holds its options). Change: loop, http, instances, platform, openai and appliance are folders; src/log is the lowest layer, on spdlog, still 20 lines a second for each topic. No behaviour but the form of a log line changes.

--- a/src/app/console.cpp
+++ b/src/app/console.cpp
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "config/address.hpp"
-#include "net/loop.hpp"
+#include "net/loop/loop.hpp"
 
 namespace bankmux::app {
 
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -6,17 +6,17 @@
 #include <optional>
 #include <utility>
 
-#include "app/log.hpp"
 #include "app/wind_down.hpp"
 #include "core/conductor.hpp"
-#include "net/agent_check.hpp"
-#include "net/box_watch.hpp"
-#include "net/discovery_watch.hpp"
-#include "net/http_server.hpp"
-#include "net/instance_client.hpp"
-#include "net/openai_front.hpp"
-#include "net/operator_page.hpp"
-#include "net/platform_front.hpp"
+#include "log/log.hpp"
+#include "net/appliance/agent_check.hpp"
+#include "net/appliance/box_watch.hpp"
+#include "net/appliance/operator_page.hpp"
+#include "net/http/http_server.hpp"
+#include "net/instances/instance_client.hpp"
+#include "net/openai/front.hpp"
+#include "net/platform/discovery_watch.hpp"
+#include "net/platform/platform_front.hpp"
 
 namespace bankmux::app {
 
@@ -45,6 +45,8 @@
   }
 };
 
+void log_line(const char* topic, const std::string& text) { log::write(topic, text); }
+
 core::ConductorSettings core_settings(const eiderarch::Settings& module, const Bounds& bounds) {
   core::ConductorSettings settings;
   settings.module = module;
@@ -61,9 +63,9 @@
 void guarded_reload(const std::function<std::pair<std::string, bool>()>& apply) {
   try {
     const auto [what, all] = apply();
-    log("reload", what + (all ? "" : "; the rest of what is new there counts from the next start"));
+    log::write("reload", what + (all ? "" : "; the rest of what is new there counts from the next start"));
   } catch (const config::BadConfig& problem) {
-    log("reload", std::string("the old configuration stays: ") + problem.what());
+    log::write("reload", std::string("the old configuration stays: ") + problem.what());
   }
 }
 
@@ -77,7 +79,7 @@
                                 net::Dialect::platform);
   net::DiscoveryWatch discovery(loop, config,
                                 [&](core::FleetNews news) { conductor->news(std::move(news)); });
-  conductor.emplace(core_settings(config.module, bounds), loop, instances, discovery, log);
+  conductor.emplace(core_settings(config.module, bounds), loop, instances, discovery, log_line);
   net::PlatformFront front(*conductor, loop, config.classes);
   net::HttpServer server(
       loop, config.listen,
@@ -93,7 +95,7 @@
       loop, *conductor, {&server}, kPlatformAccepting, [&] { front.set_ready(false); }, reload);
   conductor->news(config.known);  // the known list serves until discovery does
   discovery.open();
-  log("start", config.name + " serves at " + config.listen);
+  log::write("start", config.name + " serves at " + config.listen);
   wind_down.run();
 }
 
@@ -105,7 +107,7 @@
                                 net::Dialect::openai);
   net::BoxWatch boxes(loop, instances, appliance,
                       [&](core::FleetNews news) { conductor->news(std::move(news)); });
-  conductor.emplace(core_settings(appliance.module, bounds), loop, instances, boxes, log);
+  conductor.emplace(core_settings(appliance.module, bounds), loop, instances, boxes, log_line);
   net::OperatorPage page(*conductor, loop, boxes, appliance);
   net::OpenAiFront front(*conductor, loop, appliance,
                          [&] { return page.standing().state == net::Standing::State::up; });
@@ -137,7 +139,7 @@
   WindDown wind_down(
       loop, *conductor, servers, kApplianceAccepting, [&] { page.set_ending(); }, reload);
   boxes.open();
-  log("start", appliance.name + " serves the chat API at " + appliance.listen);
+  log::write("start", appliance.name + " serves the chat API at " + appliance.listen);
   wind_down.run();
 }
 
--- a/src/app/wind_down.cpp
+++ b/src/app/wind_down.cpp
@@ -4,7 +4,7 @@
 #include <csignal>
 #include <string>
 
-#include "app/log.hpp"
+#include "log/log.hpp"
 
 namespace bankmux::app {
 
@@ -43,15 +43,15 @@
   mask_reloads(SIG_UNBLOCK);
   loop_.run();
   const core::Figures& f = conductor_.figures();
-  log("stop", "taken " + std::to_string(f.taken) + ", served " + std::to_string(f.served) + ", refused " +
-                  std::to_string(f.refused) + ", failed " + std::to_string(f.failed) + ", broken " +
-                  std::to_string(f.broken) + ", client gone " + std::to_string(f.gone));
+  log::write("stop", "taken " + std::to_string(f.taken) + ", served " + std::to_string(f.served) +
+                         ", refused " + std::to_string(f.refused) + ", failed " + std::to_string(f.failed) +
+                         ", broken " + std::to_string(f.broken) + ", client gone " + std::to_string(f.gone));
 }
 
 void WindDown::begin() {
   if (ending_) return loop_.stop();  // told twice: now
   ending_ = true;
-  log("stop", "told to end; open requests: " + std::to_string(conductor_.open_requests()));
+  log::write("stop", "told to end; open requests: " + std::to_string(conductor_.open_requests()));
   for (net::HttpServer* server : servers_) server->wind_down();
   begun_();
   next_ = loop_.at(loop_.now() + accepting_, [this] {
--- a/src/app/wind_down.hpp
+++ b/src/app/wind_down.hpp
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "core/conductor.hpp"
-#include "net/http_server.hpp"
-#include "net/loop.hpp"
+#include "net/http/http_server.hpp"
+#include "net/loop/loop.hpp"
 
 namespace bankmux::app {
 
--- a/src/net/agent_check.cpp
+++ b/src/net/appliance/agent_check.cpp
@@ -1,4 +1,4 @@
-#include "net/agent_check.hpp"
+#include "net/appliance/agent_check.hpp"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
--- a/src/net/agent_check.hpp
+++ b/src/net/appliance/agent_check.hpp
@@ -6,7 +6,7 @@
 #include <map>
 #include <string>
 
-#include "net/loop.hpp"
+#include "net/loop/loop.hpp"
 
 namespace bankmux::net {
 
--- a/src/net/box_watch.cpp
+++ b/src/net/appliance/box_watch.cpp
@@ -1,4 +1,4 @@
-#include "net/box_watch.hpp"
+#include "net/appliance/box_watch.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/net/operator_page.cpp
+++ b/src/net/appliance/operator_page.cpp
@@ -1,4 +1,4 @@
-#include "net/operator_page.hpp"
+#include "net/appliance/operator_page.hpp"
 
 #include <nlohmann/json.hpp>
 #include <string_view>
--- a/src/net/operator_page.hpp
+++ b/src/net/appliance/operator_page.hpp
@@ -7,9 +7,9 @@
 
 #include "config/appliance.hpp"
 #include "core/conductor.hpp"
-#include "net/agent_check.hpp"
-#include "net/box_watch.hpp"
-#include "net/http_server.hpp"
+#include "net/appliance/agent_check.hpp"
+#include "net/appliance/box_watch.hpp"
+#include "net/http/http_server.hpp"
 
 namespace bankmux::net {
 
--- a/src/net/http_connection.cpp
+++ b/src/net/http/http_connection.cpp
@@ -1,4 +1,4 @@
-#include "net/http_connection.hpp"
+#include "net/http/http_connection.hpp"
 
 #include <event2/bufferevent.h>
 #include <netinet/in.h>
--- a/src/net/http_connection.hpp
+++ b/src/net/http/http_connection.hpp
@@ -4,7 +4,7 @@
 #include <memory>
 #include <string>
 
-#include "net/http_server.hpp"
+#include "net/http/http_server.hpp"
 
 namespace bankmux::net {
 
--- a/src/net/http_reply.cpp
+++ b/src/net/http/http_reply.cpp
@@ -1,4 +1,4 @@
-#include "net/http_reply.hpp"
+#include "net/http/http_reply.hpp"
 
 #include <cstdio>
 
--- a/src/net/http_reply.hpp
+++ b/src/net/http/http_reply.hpp
@@ -4,8 +4,8 @@
 #include <memory>
 
 #include "core/ports.hpp"
-#include "net/http_server.hpp"
-#include "net/payload.hpp"
+#include "net/http/http_server.hpp"
+#include "net/instances/payload.hpp"
 
 namespace bankmux::net {
 
--- a/src/net/http_server.cpp
+++ b/src/net/http/http_server.cpp
@@ -1,11 +1,11 @@
-#include "net/http_server.hpp"
+#include "net/http/http_server.hpp"
 
 #include <chrono>
 #include <iterator>
 #include <vector>
 
-#include "app/log.hpp"
-#include "net/http_connection.hpp"
+#include "log/log.hpp"
+#include "net/http/http_connection.hpp"
 
 namespace bankmux::net {
 
@@ -42,7 +42,7 @@
       this);
   // Out of descriptors, libevent would try again without a pause: the listener rests until the next look.
   evconnlistener_set_error_cb(listener_.get(), [](evconnlistener* listener, void*) {
-    app::log("server", "cannot accept a connection");
+    log::write("server", "cannot accept a connection");
     evconnlistener_disable(listener);
   });
   look();
@@ -56,7 +56,7 @@
   if (connections_.size() < limits_.connections || make_room()) return;
   // The next one waits in the kernel's queue until there is room: closed at once it would be lost, and most
   // of those that fill the room are gone soon.
-  app::log("server", "no room for more connections; held: " + census());
+  log::write("server", "no room for more connections; held: " + census());
   evconnlistener_disable(listener_.get());
   look_again_ = loop_.at(loop_.now() + kLookForRoom, [this] { look(); });
 }
--- a/src/net/http_server.hpp
+++ b/src/net/http/http_server.hpp
@@ -12,8 +12,8 @@
 #include <vector>
 
 #include "config/address.hpp"
-#include "net/loop.hpp"
-#include "net/request_parser.hpp"
+#include "net/http/request_parser.hpp"
+#include "net/loop/loop.hpp"
 
 namespace bankmux::net {
 
--- a/src/net/message_parser.cpp
+++ b/src/net/http/message_parser.cpp
@@ -1,4 +1,4 @@
-#include "net/message_parser.hpp"
+#include "net/http/message_parser.hpp"
 
 #include <algorithm>
 #include <cctype>
--- a/src/net/request_parser.cpp
+++ b/src/net/http/request_parser.cpp
@@ -1,4 +1,4 @@
-#include "net/request_parser.hpp"
+#include "net/http/request_parser.hpp"
 
 #include <algorithm>
 
--- a/src/net/request_parser.hpp
+++ b/src/net/http/request_parser.hpp
@@ -1,7 +1,7 @@
 // Reads one HTTP/1.1 request.
 #pragma once
 
-#include "net/message_parser.hpp"
+#include "net/http/message_parser.hpp"
 
 namespace bankmux::net {
 
--- a/src/net/response_parser.cpp
+++ b/src/net/http/response_parser.cpp
@@ -1,4 +1,4 @@
-#include "net/response_parser.hpp"
+#include "net/http/response_parser.hpp"
 
 #include <charconv>
 
--- a/src/net/instance_client.cpp
+++ b/src/net/instances/instance_client.cpp
@@ -1,11 +1,11 @@
-#include "net/instance_client.hpp"
+#include "net/instances/instance_client.hpp"
 
 #include <algorithm>
 #include <chrono>
 #include <cstdlib>
 #include <utility>
 
-#include "net/stream_scanner.hpp"
+#include "net/instances/stream_scanner.hpp"
 
 namespace bankmux::net {
 
--- a/src/net/instance_client.hpp
+++ b/src/net/instances/instance_client.hpp
@@ -6,8 +6,8 @@
 #include <string>
 
 #include "core/ports.hpp"
-#include "net/instance_pool.hpp"
-#include "net/payload.hpp"
+#include "net/instances/instance_pool.hpp"
+#include "net/instances/payload.hpp"
 
 namespace bankmux::net {
 
--- a/src/net/instance_pool.cpp
+++ b/src/net/instances/instance_pool.cpp
@@ -1,4 +1,4 @@
-#include "net/instance_pool.hpp"
+#include "net/instances/instance_pool.hpp"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
--- a/src/net/instance_pool.hpp
+++ b/src/net/instances/instance_pool.hpp
@@ -7,8 +7,8 @@
 #include <string>
 
 #include "config/address.hpp"
-#include "net/loop.hpp"
-#include "net/response_parser.hpp"
+#include "net/http/response_parser.hpp"
+#include "net/loop/loop.hpp"
 
 namespace bankmux::net {
 
--- a/src/net/stream_scanner.cpp
+++ b/src/net/instances/stream_scanner.cpp
@@ -1,8 +1,8 @@
-#include "net/stream_scanner.hpp"
+#include "net/instances/stream_scanner.hpp"
 
 #include <nlohmann/json.hpp>
 
-#include "net/instance_client.hpp"
+#include "net/instances/instance_client.hpp"
 
 namespace bankmux::net {
 
--- a/src/net/loop.cpp
+++ b/src/net/loop/loop.cpp
@@ -1,4 +1,4 @@
-#include "net/loop.hpp"
+#include "net/loop/loop.hpp"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -8,8 +8,8 @@
 #include <stdexcept>
 #include <utility>
 
-#include "app/log.hpp"
 #include "config/address.hpp"
+#include "log/log.hpp"
 
 namespace bankmux::net {
 
@@ -49,7 +49,7 @@
   try {
     run();
   } catch (const std::exception& problem) {
-    app::log(where, std::string("exception: ") + problem.what());
+    log::write(where, std::string("exception: ") + problem.what());
   }
 }
 
--- a/src/net/openai_chat.cpp
+++ b/src/net/openai/chat.cpp
@@ -1,4 +1,4 @@
-#include "net/openai_chat.hpp"
+#include "net/openai/chat.hpp"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/src/net/openai_front.cpp
+++ b/src/net/openai/front.cpp
@@ -1,9 +1,9 @@
-#include "net/openai_front.hpp"
+#include "net/openai/front.hpp"
 
 #include <cstdio>
 
-#include "net/openai_chat.hpp"
-#include "net/payload.hpp"
+#include "net/instances/payload.hpp"
+#include "net/openai/chat.hpp"
 
 namespace bankmux::net {
 
--- a/src/net/openai_front.hpp
+++ b/src/net/openai/front.hpp
@@ -6,8 +6,8 @@
 
 #include "config/appliance.hpp"
 #include "core/conductor.hpp"
-#include "net/http_reply.hpp"
-#include "net/http_server.hpp"
+#include "net/http/http_reply.hpp"
+#include "net/http/http_server.hpp"
 
 namespace bankmux::net {
 
--- a/src/net/discovery_watch.cpp
+++ b/src/net/platform/discovery_watch.cpp
@@ -1,10 +1,10 @@
-#include "net/discovery_watch.hpp"
+#include "net/platform/discovery_watch.hpp"
 
 #include <chrono>
 
-#include "app/log.hpp"
 #include "codec.hpp"
 #include "config/address.hpp"
+#include "log/log.hpp"
 
 namespace bankmux::net {
 
@@ -80,7 +80,7 @@
   }
   pending_.erase(0, begin);
   if (pending_.size() > kMostLine) {
-    app::log("discovery", "a line without an end");
+    log::write("discovery", "a line without an end");
     pending_.clear();
     again(kAfterNonsense);
   }
@@ -95,7 +95,7 @@
     whole_ = false;
     news_(std::move(message.news));
   } catch (const eiderarch::wire::MalformedInput& problem) {
-    app::log("discovery", std::string("list line not understood, the old list stays: ") + problem.what());
+    log::write("discovery", std::string("list line not understood, the old list stays: ") + problem.what());
     again(kAfterNonsense);
   }
 }
--- a/src/net/discovery_watch.hpp
+++ b/src/net/platform/discovery_watch.hpp
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "config/config.hpp"
-#include "net/loop.hpp"
+#include "net/loop/loop.hpp"
 
 namespace bankmux::net {
 
--- a/src/net/platform_front.cpp
+++ b/src/net/platform/platform_front.cpp
@@ -1,4 +1,4 @@
-#include "net/platform_front.hpp"
+#include "net/platform/platform_front.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -6,8 +6,8 @@
 #include <optional>
 
 #include "codec.hpp"
-#include "net/http_reply.hpp"
-#include "net/payload.hpp"
+#include "net/http/http_reply.hpp"
+#include "net/instances/payload.hpp"
 
 namespace bankmux::net {
 
--- a/src/net/platform_front.hpp
+++ b/src/net/platform/platform_front.hpp
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "core/conductor.hpp"
-#include "net/http_server.hpp"
+#include "net/http/http_server.hpp"
 
 namespace bankmux::net {
 
--- a/tests/stories/evhttp_stories.cpp
+++ b/tests/stories/evhttp_stories.cpp
@@ -4,8 +4,8 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 
-#include "net/http_server.hpp"
-#include "net/loop.hpp"
+#include "net/http/http_server.hpp"
+#include "net/loop/loop.hpp"
 #include "peers.hpp"
 
 using namespace bankmux;
--- a/tests/wire_parts_test.cpp
+++ b/tests/wire_parts_test.cpp
@@ -1,11 +1,11 @@
 // The parts that read what comes over the wire: responses, streams, reports, chat requests.
 #include <catch2/catch.hpp>
 
-#include "net/instance_client.hpp"
-#include "net/openai_chat.hpp"
-#include "net/request_parser.hpp"
-#include "net/response_parser.hpp"
-#include "net/stream_scanner.hpp"
+#include "net/http/request_parser.hpp"
+#include "net/http/response_parser.hpp"
+#include "net/instances/instance_client.hpp"
+#include "net/instances/stream_scanner.hpp"
+#include "net/openai/chat.hpp"
 
 using namespace bankmux;
 using net::ResponseParser;
