--- a/src/config/appliance.cpp
+++ b/src/config/appliance.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "config/fields.hpp"
+#include "config/schema.hpp"
 
 namespace bankmux::config {
 
@@ -68,7 +69,9 @@
   return parse_appliance(read_document("--appliance", path));
 }
 
-Appliance parse_appliance(const json& document) {
+namespace {
+
+Appliance read_fields(const json& document) {
   const Fields f(document, "");
   Appliance a;
   a.module = module_settings();
@@ -126,6 +129,7 @@
     a.boxes.push_back(std::move(box));
   }
   if (a.boxes.size() > kMostBoxes) f.bad("boxes", "has more than " + std::to_string(kMostBoxes) + " entries");
+  (void)f.has("$schema");  // for editors
   f.no_others();
   json rest = document;
   for (const char* key : {"boxes", "models", "check_every_s", "default_output_tokens"}) rest.erase(key);
@@ -133,4 +137,18 @@
   return a;
 }
 
+}  // namespace
+
+// The schema is what is published, so it decides; where the reader finds the same fault, its words are
+// clearer.
+Appliance parse_appliance(const json& document) {
+  try {
+    check_schema(document, appliance_schema());
+  } catch (const BadConfig&) {
+    (void)read_fields(document);
+    throw;
+  }
+  return read_fields(document);
+}
+
 }  // namespace bankmux::config
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -6,6 +6,7 @@
 #include "app/serve.hpp"
 #include "app/wind_down.hpp"
 #include "config/config.hpp"
+#include "config/schema.hpp"
 
 namespace {
 
@@ -33,9 +34,14 @@
       cli.add_subcommand("console", "Show an appliance's fleet, load, requests and drains live");
   console->add_option("--connect", connect, "Where its operator's page listens")->capture_default_str();
   console->add_flag("--once", once, "Print one picture and end");
+  CLI::App* schema = cli.add_subcommand("schema", "Print the JSON Schema of the appliance file");
   CLI11_PARSE(cli, argc, argv);
   try {
     if (version->parsed()) std::printf("bankmux %s\n", kVersion);
+    if (schema->parsed()) {
+      const std::string_view text = config::appliance_schema();
+      std::fwrite(text.data(), 1, text.size(), stdout);
+    }
     if (console->parsed()) return bankmux::app::console(connect, once);
     if (check->parsed()) {
       const bool platform = appliance.empty();
--- a/src/net/sse/stream_scanner.cpp
+++ b/src/net/sse/stream_scanner.cpp
@@ -32,13 +32,19 @@
 
 void StreamScanner::feed(std::string_view bytes) {
   while (!bytes.empty()) {
-    const std::size_t end = bytes.find('\n');
+    // The LF of a CRLF whose CR has ended the line.
+    if (std::exchange(after_cr_, false) && bytes.front() == '\n') {
+      bytes.remove_prefix(1);
+      continue;
+    }
+    const std::size_t end = bytes.find_first_of("\r\n");
     if (!skip_) line_.append(bytes.substr(0, end));
     if (line_.size() > kMostLine) {
       skip_ = true;
       line_.clear();
     }
     if (end == std::string_view::npos) return;
+    after_cr_ = bytes[end] == '\r';
     if (!skip_) line();
     skip_ = false;
     line_.clear();
@@ -48,7 +54,7 @@
 
 void StreamScanner::line() {
   std::string_view text = line_;
-  if (!text.empty() && text.back() == '\r') text.remove_suffix(1);
+  if (text.starts_with("\xEF\xBB\xBF")) text.remove_prefix(3);
   if (text.empty()) {
     data_.clear();
     data_lines_ = 0;
--- a/src/net/sse/stream_scanner.hpp
+++ b/src/net/sse/stream_scanner.hpp
@@ -29,6 +29,7 @@
   std::string data_;  // of the event in hand
   int data_lines_ = 0;
   bool skip_ = false;
+  bool after_cr_ = false;
   bool failed_ = false, finished_ = false, done_ = false;
   core::Tokens found_ = 0;
   eiderarch::LoadReport report_;
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "config/appliance.hpp"
+#include "config/schema.hpp"
 #include "stories/platform_world.hpp"
 
 using namespace bankmux;
@@ -38,6 +39,7 @@
 
 template <typename Parse>
 void check_faults(const json& good, const std::vector<Fault>& faults, Parse parse) {
+  CHECK_NOTHROW(parse(good));
   for (const Fault& fault : faults) {
     json bad = good;
     fault.change(bad);
@@ -102,10 +104,25 @@
                 {"boxes[0].address", [](json& d) { d["boxes"][0]["address"] = "x:1"; }},
                 {"boxes[0].id", [](json& d) { d["boxes"][0]["id"] = "a/b"; }},
                 {"boxes[1].id", [](json& d) { d["boxes"].push_back(d["boxes"][0]); }},
+                {"max_body_mib", [](json& d) { d["max_body_mib"] = 60; }},
+                {"cors_origins", [](json& d) { d["cors_origins"] = "*"; }},
+                {"models[0].responses", [](json& d) { d["models"][0]["responses"] = "both"; }},
                 {"max_attempts", [](json& d) { d["max_attempts"] = 1.5; }}},
                [](const json& d) { return config::parse_appliance(d); });
 }
 
+TEST_CASE("The published schema finds by itself what it can, and names the key") {
+  check_faults(appliance(),
+               {{"listen", [](json& d) { d.erase("listen"); }},
+                {"lisen", [](json& d) { d["lisen"] = "127.0.0.1:1"; }},
+                {"classes[0].repeat", [](json& d) { d["classes"][0]["repeat"] = "often"; }},
+                {"classes[0].deadline_s", [](json& d) { d["classes"][0]["deadline_s"] = 0; }},
+                {"boxes[0].address", [](json& d) { d["boxes"][0]["address"] = "x:1"; }},
+                {"boxes[0].wieght", [](json& d) { d["boxes"][0]["wieght"] = 1; }},
+                {"max_attempts", [](json& d) { d["max_attempts"] = 1.5; }}},
+               [](const json& d) { config::check_schema(d, config::appliance_schema()); });
+}
+
 TEST_CASE("The file that ships is a good one") {
   CHECK_NOTHROW(config::read_appliance(std::string(EIDERARCH_ROOT) + "/deploy/appliance.json"));
 }
