Draw which requests a cold box gets, instead of saving up a credit for it at each conductor

Each conductor has a request in two seconds and credits grow by 0.02 a second for each box, so the credit lay with conductors that had no request, or whose request had its home elsewhere. Ruled out: the list (told 0.8 s after the boxes' start), failing connections (none), the pace learned. At fault: usable() asking for a whole saved send, and cold_credit().

Change: a cold box takes kColdShare x factor x its present capacity's part of the requests that would choose it, by a draw from seed and request; less where the list has fewer boxes live than it once had. The credit stays as a bound on what one conductor sends at once.

--- a/src/router.cpp
+++ b/src/router.cpp
@@ -66,7 +66,8 @@
 constexpr double kFillDown = 0.1;      // fall for each slow one
 constexpr double kSlowFirst = 0.1;     // part of the aim from which a first token is slow
 constexpr double kAnswerShare = 0.25;  // of max_output, expected where no hint is given
-constexpr double kColdShare = 0.5;     // of the cold budget, used by all fronts together
+constexpr double kColdShare = 0.4;     // of the cold budget, used by all fronts together
+constexpr Duration kColdDraw = 1s;     // how long a request that waits stands by its draw
 constexpr double kRetryShare = 0.2;    // further attempts for each new request; bounds what trouble adds
 constexpr double kTenantDepth = 3.0;   // requests that a tenant may be ahead of its share at one front
 constexpr double kRetryLeast = 2.0;   // attempts saved up at most: what arrives in some seconds, but at least
@@ -263,7 +264,7 @@
         engine.pace = Pace{};
         engine.all = Record{};
         engine.by_class.clear();
-        engine.cold_credit = unit(mix(s_.seed, entry.engine));
+        engine.cold_credit = 1.0;
         engine.cold_at = now_;
         engine.aside_until = engine.full_until = Time{0};
       }
@@ -279,6 +280,7 @@
         (engine.reads() ? sizes->readers : sizes->writers) += std::max(0.01, engine.entry.rating);
       }
     }
+    most_ = {std::max(most_.readers, all_.readers), std::max(most_.writers, all_.writers)};
   }
 
   // ---- Arrival and waiting ----
@@ -415,7 +417,7 @@
   }
 
   [[nodiscard]] bool usable(const Engine& e, const Request& r) const {
-    return e.live() && now_ >= e.aside_until && (!cold(e) || cold_credit(e) >= 1.0) && repeat_allowed(e, r);
+    return e.live() && now_ >= e.aside_until && (!cold(e) || welcome(e, r)) && repeat_allowed(e, r);
   }
 
   // Score: prefix match plus low load. A match never wins at a server with more of this front's requests than
@@ -618,18 +620,32 @@
     return double(r.ask.prompt_tokens) + (hint > 0.0 ? hint : kAnswerShare * double(r.ask.max_output));
   }
 
-  // A cold server gets this front's part of the budget, by what a warm peer gets from it. It may be far below
-  // one send, so it adds up from a point drawn from the seed: of all fronts as many have a send to spare as
-  // the budget allows. Harm: with few fronts the first send waits a second or two.
   [[nodiscard]] bool cold(const Engine& e) const {
     return e.entry.started > Time{0} && now_ - e.entry.started < s_.rules.cold_time;
   }
 
-  [[nodiscard]] double cold_credit(const Engine& e) const {
+  // Of what a server would get if it were warm, the part that the budget allows while it is cold.
+  [[nodiscard]] double cold_part(const Engine& e) const {
     const double from = std::clamp(s_.rules.cold_from, 0.05, 1.0);
     const double age = std::max(0.0, seconds(now_ - e.entry.started) / seconds(s_.rules.cold_time));
-    const double rate =
-        kColdShare * std::max(1.0, s_.rules.overload_factor) * usual_rate(e) * (from + (1.0 - from) * age);
+    return kColdShare * std::max(1.0, s_.rules.overload_factor) * (from + (1.0 - from) * age);
+  }
+
+  // A cold server takes that part of the requests that would choose it, by a draw for each of them: so what all
+  // fronts send together follows what a warm peer gets, however many they are and however seldom one of them
+  // has a request. A credit alone, a small part of a send for each front, lies with fronts that have none. Where
+  // the list has lost servers, the rest would be chosen more often: less of it then. Harm: chance, for which
+  // part of the budget stays free.
+  [[nodiscard]] bool welcome(const Engine& e, const Request& r) const {
+    const double left = e.reads() ? all_.readers / most_.readers : all_.writers / most_.writers;
+    const auto draws = std::uint64_t((now_ - r.arrived) / kColdDraw);
+    return cold_credit(e) >= 1.0 &&
+           unit(mix(mix(s_.seed + draws, r.ask.id), e.entry.engine)) < cold_part(e) * left;
+  }
+
+  // Sends that it may get from this front at once; what a burst here may add to those of the others.
+  [[nodiscard]] double cold_credit(const Engine& e) const {
+    const double rate = cold_part(e) * usual_rate(e);
     return std::min(e.cold_credit + rate * seconds(now_ - e.cold_at),
                     std::max(1.0, rate * seconds(s_.rules.fall_time)));
   }
@@ -973,7 +989,7 @@
   std::map<std::pair<bool, std::uint32_t>, Record> roles_;  // by reader or not, and class
   std::map<std::uint32_t, Record> zones_;
   std::map<std::uint32_t, Sizes> cells_;
-  Sizes all_;
+  Sizes all_, most_;  // of what the list has live, now and at most so far
   std::optional<std::uint32_t> near_;                             // the cell in which its writer is preferred
   std::map<std::pair<std::uint32_t, int>, double> found_;         // by class and place
   std::map<std::pair<std::uint32_t, std::uint32_t>, Time> cuts_;  // by cells: reader's, writer's
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -374,6 +374,15 @@
   EXPECT_LE(first_second, 36);
 }
 
+TEST(Cold, FrontsThatSeldomHaveARequestWarmItTogether) {
+  // A hundred fronts with one request in two seconds each: none saves up a whole send of its own in that time,
+  // and still the fresh reader is to get some of the ten that a warm one gets, and no more than its part.
+  int sends = 0;
+  for (std::uint64_t seed = 1; seed <= 400; ++seed) sends += sends_to_a_fresh_reader(400, seed, 1s, 39);
+  EXPECT_GE(sends, 2);
+  EXPECT_LE(sends, 9);
+}
+
 TEST(Cold, AFreshServerIsWarmedByAFewFrontsToo) {
   int sends = 0;
   for (std::uint64_t seed = 1; seed <= 20; ++seed) sends += sends_to_a_fresh_reader(2, seed, 8s, 0);
