Ask home readers and local writers for their queue, and unproven boxes whether they run

Conductors agree on the homes of a beginning, each has a request in two seconds and knows nothing of the others' queue there. At fault: read_cost() with own work alone, on(ProbeEnded) unused, dispatch() sending to boxes nobody heard of.

A told queue counts in costs, in the pace learned and against joining it too late. Figures that are none are not used.

--- a/src/net/sse/stream_scanner.cpp
+++ b/src/net/sse/stream_scanner.cpp
@@ -135,6 +135,7 @@
   static const std::pair<std::string_view, Field> kNames[] = {
       {"inflight", Field::in_flight},    {"queue", Field::queued},     {"util", Field::utilisation},
       {"latency_ms", Field::latency_ms}, {"qps", Field::rate},         {"eps", Field::errors},
+      {"concurrent", Field::in_flight},  {"depth", Field::queued},
       {"x0", Field::memory_share},       {"x1", Field::queued_ktokens}};
   eiderarch::LoadReport report;
   while (!text.empty()) {
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -6,26 +6,26 @@
 #include <array>
 #include <cmath>
 #include <deque>
-#include <list>
 #include <map>
 #include <optional>
 #include <unordered_map>
 #include <utility>
 
+#include "prefix_table.hpp"
+
 namespace eiderarch {
 namespace {
 
 using namespace std::chrono_literals;
 
 // ---- Tuned values: unit and reason ----
-constexpr Tokens kLocalRemainder = 128;   // tokens; up to here a hop costs more than the writer's pause
-constexpr Tokens kShortPrompt = 192;      // tokens; a whole prompt this short is never worth a reader's queue
-constexpr double kMatchWeight = 1.0;      // share of the prompt kept, against load relative to the mean
-constexpr double kLoadWeight = 1.0;       // own tokens at a writer over the mean of its role
-constexpr double kSlowWeight = 0.5;       // pace over the median pace of the role
-constexpr double kZoneWeight = 0.2;       // a writer in another zone: its client traffic crosses too
-constexpr double kTie = 0.05;             // score; nearer than this the rendezvous hash decides
-constexpr std::size_t kTableKeys = 2000;  // keys a server; some minutes of one front's sessions
+constexpr Tokens kLocalRemainder = 128;  // tokens; up to here a hop costs more than the writer's pause
+constexpr Tokens kShortPrompt = 192;     // tokens; a whole prompt this short is never worth a reader's queue
+constexpr double kMatchWeight = 1.0;     // share of the prompt kept, against load relative to the mean
+constexpr double kLoadWeight = 1.0;      // own tokens at a writer over the mean of its role
+constexpr double kSlowWeight = 0.5;      // pace over the median pace of the role
+constexpr double kZoneWeight = 0.2;      // a writer in another zone: its client traffic crosses too
+constexpr double kTie = 0.05;            // score; nearer than this the rendezvous hash decides
 constexpr double kBaseWork = 400.0;  // tokens; the fixed part of a step, so that tiny requests measure fairly
 constexpr double kFetchShare = 0.1;  // moving a token costs a writer about this part of reading it
 constexpr double kPaceGain = 0.2;    // weight of a new sample in a pace
@@ -73,7 +73,17 @@
 constexpr double kRetryLeast = 2.0;   // attempts saved up at most: what arrives in some seconds, but at least
 constexpr double kRetryBurst = 20.0;  //   this and at most that, for many fronts spend their savings at once
 constexpr double kStayLeast = 0.5;    // of the longest advice allowed, the shortest given
-constexpr Duration kSweep = 20ms;     // period of the sweep; well inside any release time
+constexpr unsigned kManyFronts = 8;   // from here on own load is too small a part of what a server has
+constexpr double kSeldom = 0.25;      // own sends a second to a server, from which own load tells enough
+constexpr Duration kReportAge = 300ms;  // a report this old is asked for anew
+constexpr Duration kAskWait = 30ms;     // how long a request waits for reports; a round trip takes a few ms
+constexpr double kMostTold = 1e5;       // thousands of tokens; more is no queue but a fault
+constexpr Duration kProof = 3s;         // how long a sign of life spares a box the question whether it runs
+constexpr double kWary = 0.1;  // share of connections that failed of late, from which boxes are asked so
+constexpr Duration kTrustTold = 1s;    // a report this old is no reason to keep a request back
+constexpr double kFirstJam = 2e4;      // tokens; a second of a reader's work
+constexpr double kToldFade = 1.0;      // seconds in which a report goes over to the role's usual
+constexpr Duration kSweep = 20ms;      // period of the sweep; well inside any release time
 constexpr Duration kResubscribe = 1s;  // wait after a failed list call
 constexpr Duration kReclaim = 40ms;    // how long before a deadline a waiting request is answered
 
@@ -92,29 +102,6 @@
 
 double unit(std::uint64_t hash) { return (double(hash >> 11) + 0.5) / 9007199254740992.0; }
 
-// Key to length, bounded, least recently used out first: what a server is believed to keep.
-class PrefixTable {
- public:
-  void put(Key key, Tokens length) {
-    if (key == 0 || length <= 0) return;
-    const auto it = index_.find(key);
-    if (it != index_.end()) order_.erase(it->second);
-    order_.emplace_front(key, length);
-    index_[key] = order_.begin();
-    if (index_.size() <= kTableKeys) return;
-    index_.erase(order_.back().first);
-    order_.pop_back();
-  }
-  [[nodiscard]] Tokens find(Key key) const {
-    const auto it = key == 0 ? index_.end() : index_.find(key);
-    return it == index_.end() ? 0 : it->second->second;
-  }
-
- private:
-  std::list<std::pair<Key, Tokens>> order_;
-  std::unordered_map<Key, std::list<std::pair<Key, Tokens>>::iterator> index_;  // never iterated
-};
-
 // What became of sends, fading with time: at one server, over a role, in a zone.
 struct Record {
   double good = 0.0, bad = 0.0;
@@ -175,7 +162,11 @@
   Time aside_until{0};
   Duration aside_for = kEjectFirst;
   Time full_until{0};
-  double cold_credit = 0.0;  // sends that it may get while cold, as of then
+  double told = 0.0;  // tokens that all fronts have waiting there, as it reported at `told_at`
+  Time told_at = -1h, asked_at = -1h;  // at first: long ago
+  bool asked = false;                  // a probe is out
+  std::optional<Time> heard;           // its last sign of life
+  double cold_credit = 0.0;            // sends that it may get while cold, as of then
   Time cold_at{0};
 
   [[nodiscard]] bool reads() const { return role == Role::reader; }
@@ -249,6 +240,7 @@
       if (s_.list_mode == ListMode::on_request) resubscribe_ = now_ + kResubscribe;
       return;
     }
+    listed_ |= e.scope != ListScope::disk;
     if (e.scope != ListScope::changes) {
       for (auto& [id, engine] : engines_) {
         if (std::ranges::count(e.entries, id, &EngineEntry::engine) == 0)
@@ -266,7 +258,7 @@
         engine.by_class.clear();
         engine.cold_credit = 1.0;
         engine.cold_at = now_;
-        engine.aside_until = engine.full_until = Time{0};
+        engine.aside_until = engine.full_until = engine.told_at = -1h;
       }
       engine.entry = entry;
       engine.role = s_.kinds[entry.kind].role;
@@ -350,25 +342,29 @@
   bool dispatch(Request& r) {
     find_home(r);
     Engine* writer = choose_writer(r, nullptr);
-    if (writer == nullptr) return false;
+    if (writer == nullptr || unproven(*writer)) return false;
     const Tokens remainder = r.ask.prompt_tokens - kept(*writer, r);
     const bool can_read = s_.writers_read || writer->role == Role::both;
     const bool short_one = remainder <= kLocalRemainder || r.ask.prompt_tokens <= kShortPrompt;
     const bool last_try = int(r.attempts.size()) + 2 > s_.limits.max_attempts;
     if (can_read && (short_one || last_try)) return send(r, *writer, false);
+    if (!last_try && ask(r, *writer)) return false;
     Engine* reader = last_try ? nullptr : choose_reader(r, *writer);
     // Exception: with no reader to be had, or where a read costs far more than one in place (unseen
     // beginnings, surges, slow links), a writer that can read does so. Harm: its running answers slow down.
-    const double local = pace(*writer) * (kBaseWork + double(remainder));
+    const double local = pace(*writer) * (queue_told(*writer) + kBaseWork + double(remainder));
     const double detour = (writer->role == Role::both ? kDetourBoth : kDetourWriter) * local;
     if (can_read && (reader == nullptr ? home_ == 0 : read_cost(*reader, *writer, r) > detour)) {
+      if (listen(*writer)) return false;
+      if (now_ - writer->told_at < kTrustTold && local > kOnTime * seconds(r.aim - now_)) return false;
       return send(r, *writer, false);
     }
-    if (reader == nullptr) return false;
+    if (reader == nullptr || unproven(*reader)) return false;
     const double cost = read_cost(*reader, *writer, r);
     if (reader->work <= 0.0 && !admitted(r, *reader, cost)) return give_up(r);
     // A queue of its own that would make it late is not joined; it waits here, where worth goes first.
-    if (reader->work > 0.0 && cost > kOnTime * seconds(r.aim - now_)) return false;
+    if ((reader->work > 0.0 || now_ - reader->told_at < kTrustTold) && cost > kOnTime * seconds(r.aim - now_))
+      return false;
     r.writer = writer->entry.engine;
     if (!send(r, *reader, true)) return false;
     plan(r, true);
@@ -380,10 +376,9 @@
   }
 
   // Admission, by what a role's servers show of all fronts' load: where read and first token take most of the
-  // time left to the aim, only a part is sent, dearest first, by chance from the seed, and a repeat that has
-  // little left hardly ever. Symptom: a jam in which all is read too late and that outlives its cause. Covers
-  // surges, lost servers, slow ones where they are many, impatient clients. Harm: a short peak costs
-  // refusals.
+  // time left to the aim, only a part is sent, dearest first, by chance from the seed, and a repeat with
+  // little left hardly ever. Symptom: a jam in which all is read too late and that outlives its cause:
+  // surges, lost servers, many slow ones, impatient clients. Harm: a short peak costs refusals.
   [[nodiscard]] bool admitted(const Request& r, const Engine& e, double cost) const {
     const double usual = delay(true) + delay(false);
     const bool calm = usual < kEase * kOnTime * seconds(r.aim - r.arrived);
@@ -446,6 +441,7 @@
       const double match = double(kept(*e, r)) / double(std::max<Tokens>(1, r.ask.prompt_tokens));
       double score = kMatchWeight * match - kLoadWeight * e->held / mean - kDoubtWeight * failing;
       score -= kSlowWeight * pace(*e) / median + (e->entry.zone == s_.zone ? 0.0 : kZoneWeight);
+      if (now_ - e->told_at < kTrustTold) score -= pace(*e) * queue_told(*e) / seconds(r.cls.aim);
       if (holder == nullptr && near_ == e->entry.cell) score += kNearWeight;
       if (holder != nullptr) score -= move_time(*holder, *e, r.ask.prompt_tokens);
       if (best != nullptr && !better(score, *e, best_score, *best, r)) continue;
@@ -507,11 +503,75 @@
     return best;
   }
 
-  [[nodiscard]] double read_cost(const Engine& e, const Engine& writer, const Request& r) const {
+  // Where own sends tell too little of the queues, the session's home reader is asked before the choice and,
+  // if its queue makes it worth it, the other homes and one more, drawn. True while answers are awaited.
+  // Symptom: a hot beginning waits at one reader beside idle ones. Harm: a probe's work and price, a round
+  // trip.
+  bool ask(const Request& r, const Engine& writer) {
+    bool awaited = false;
+    Engine* const home = find(home_);
+    if (home != nullptr && usable(*home, r) && listen(*home)) return true;
+    const double known = home == nullptr || !usable(*home, r) ? 1e9 : read_cost(*home, writer, r);
+    Engine* other = nullptr;
+    for (auto& [id, e] : engines_) {
+      if (!e.reads() || id == home_ || !usable(e, r) || read_cost(e, writer, r, true) >= known) continue;
+      if (place_of(id) < 2) {
+        awaited |= listen(e);
+      } else if (other == nullptr ||
+                 mix(s_.seed + r.ask.id, id) < mix(s_.seed + r.ask.id, other->entry.engine)) {
+        other = &e;
+      }
+    }
+    if (other != nullptr) awaited |= listen(*other);
+    return awaited;
+  }
+
+  // After failed connections, or with nothing but an old list, a server not heard of lately is asked whether
+  // it runs, before a request goes there. True while that is awaited; an answer that stays out sets it aside
+  // for a moment. Symptom: after a mass restart the few attempts go to boxes long gone. Harm: a round trip.
+  bool unproven(Engine& e) {
+    const bool wary = !listed_ || reached_.failing(now_, 0.0, 3.0) > kWary;
+    if (!wary || !blind(e) || (e.heard && now_ - *e.heard < kProof)) return false;
+    probe(e);
+    if (!e.asked) return false;
+    if (now_ - e.asked_at >= kAskWait) e.full_until = now_ + kFullMemory;
+    return true;
+  }
+
+  // Asks for a report where own sends tell too little; true while one is awaited.
+  bool listen(Engine& e) {
+    if (!blind(e) || s_.report_mode != ReportMode::probes) return false;
+    probe(e);
+    return e.asked && now_ - e.asked_at < kAskWait;
+  }
+
+  // Among many fronts one that seldom sends to a server learns little of it from its own load and failures.
+  [[nodiscard]] bool blind(const Engine& e) const {
+    return s_.limits.probes && s_.fronts >= kManyFronts && usual_rate(e) < kSeldom;
+  }
+
+  void probe(Engine& e) {
+    if (e.asked || now_ - std::max(e.told_at, e.asked_at) < kReportAge) return;
+    actions_.emplace_back(Probe{e.entry.engine});
+    e.asked = true;
+    e.asked_at = now_;
+  }
+
+  // Tokens that wait at a server, of all fronts: as told of late, else what is usual for the role. A probe
+  // waits in the same queue, so an answer that is still out says that it is long.
+  [[nodiscard]] double queue(const Engine& e) const { return e.work + queue_told(e); }
+
+  [[nodiscard]] double queue_told(const Engine& e) const {
+    const double fade = std::exp(-seconds(now_ - e.told_at) / kToldFade);
+    const double told = std::lerp(usual_told_[e.reads() ? 1 : 0], e.told, fade);
+    return e.asked && now_ - e.asked_at >= kAskWait ? std::max(told, jam_) : told;
+  }
+
+  double read_cost(const Engine& e, const Engine& writer, const Request& r, bool idle = false) const {
     const double share = found_share(r.ask.request_class, place_of(e.entry.engine));
     const Tokens found = std::max(kept(e, r), Tokens(share * double(r.ask.prompt_tokens)));
     const double read = kBaseWork + double(r.ask.prompt_tokens - found);
-    return pace(e) * (e.work + read) + move_time(e, writer, r.ask.prompt_tokens);
+    return pace(e) * ((idle ? 0.0 : queue(e)) + read) + move_time(e, writer, r.ask.prompt_tokens);
   }
 
   // 0: home reader of its session, 1: another home of its beginning, 2: elsewhere.
@@ -586,8 +646,14 @@
     roles_[{e.reads(), r.ask.request_class}].add(now_, well);
     if (well || !reached) zones_[e.entry.zone].add(now_, well);
     if (well) e.aside_for = kEjectFirst;
+    reach(e, well || reached);
+  }
+
+  // Whether it could be reached. Where not, it is set aside for a while, longer each time.
+  void reach(Engine& e, bool reached) {
+    reached_.add(now_, reached);
+    if (reached) e.heard = now_;
     if (reached || now_ < e.aside_until) return;
-    // Cannot be reached: set aside for a while, longer each time.
     e.aside_until = now_ + e.aside_for;
     e.aside_for = std::min(kEjectMost, 2 * e.aside_for);
   }
@@ -631,11 +697,9 @@
     return kColdShare * std::max(1.0, s_.rules.overload_factor) * (from + (1.0 - from) * age);
   }
 
-  // A cold server takes that part of the requests that would choose it, by a draw for each of them: so what all
-  // fronts send together follows what a warm peer gets, however many they are and however seldom one of them
-  // has a request. A credit alone, a small part of a send for each front, lies with fronts that have none. Where
-  // the list has lost servers, the rest would be chosen more often: less of it then. Harm: chance, for which
-  // part of the budget stays free.
+  // A cold server takes that part of the requests that would choose it, by a draw for each: so what all
+  // fronts send together follows what a warm peer gets, however seldom one has a request. Where the list has
+  // lost servers, the rest is chosen more often: less then. Harm: chance, for which part of the budget stays.
   [[nodiscard]] bool welcome(const Engine& e, const Request& r) const {
     const double left = e.reads() ? all_.readers / most_.readers : all_.writers / most_.writers;
     const auto draws = std::uint64_t((now_ - r.arrived) / kColdDraw);
@@ -698,8 +762,8 @@
     a.claimed = kept(e, r);
     const double read = double(r.ask.prompt_tokens - a.claimed);
     a.work = kBaseWork + (to_reader || a.local ? read : kFetchShare * double(r.ask.prompt_tokens));
+    a.ahead = to_reader ? queue(e) + a.work : a.work;
     e.work += a.work;
-    a.ahead = to_reader ? e.work : a.work;
     e.out += 1;
     if (!to_reader) e.held += footprint(r);
     actions_.emplace_back(Send{r.ask.id, a.engine, Duration{0}});
@@ -805,8 +869,7 @@
   }
 
   // A flushed or restarted cache keeps less than the table claims: the claim is corrected, and after two in a
-  // row the whole table of that server is dropped. Harm: two evictions by chance cost the table; it refills
-  // within seconds.
+  // row that server's whole table is dropped. Harm: two evictions by chance cost it; it refills in seconds.
   static void recount(Engine& e, const Request& r, const Attempt& a, Tokens found) {
     e.shortfalls = found * 2 >= a.claimed ? 0 : e.shortfalls + 1;
     if (e.shortfalls == 0) return;
@@ -912,7 +975,24 @@
     }
   }
 
-  void on(const ProbeEnded&) {}  // reports are not asked for
+  void on(const ProbeEnded& e) {
+    Engine* const engine = find(e.engine);
+    if (engine == nullptr) return;
+    engine->asked = false;
+    if (e.outcome != Outcome::cancelled) reach(*engine, e.outcome != Outcome::not_connected);
+    std::optional<double> told;
+    for (const LoadValue& value : e.report) {
+      if (value.field == ReportField::queued_ktokens && value.value >= 0.0)
+        told = 1000.0 * std::min(value.value, kMostTold);
+    }
+    if (told && e.elapsed > kAskWait) jam_ += kPaceGain * (*told - jam_);
+    if (!told && e.outcome != Outcome::busy) return;
+    engine->told = told.value_or(jam_);
+    engine->told_at = now_;
+    double& usual = usual_told_[engine->reads() ? 1 : 0];
+    usual += kPaceGain * (engine->told - usual);
+  }
+
   // ---- The sweep ----
   void on(const TimerFired& e) {
     if (e.tag != kSweepTag) return;
@@ -982,15 +1062,19 @@
   bool armed_ = false;
   std::optional<Time> resubscribe_;
   double retries_ = kRetryLeast;
+  bool listed_ = false;  // the list has been told since the start
+  Record reached_;       // connections, at all servers
   double fill_ = 0.95;
+  std::array<double, 2> usual_told_{};  // tokens waiting at a writer and a reader, as reports told
+  double jam_ = kFirstJam;              // the same where the answer was slow to come
   std::map<EngineId, Engine> engines_;
   std::map<RequestId, Request> requests_;
   std::map<std::uint32_t, Bucket> buckets_;
   std::map<std::pair<bool, std::uint32_t>, Record> roles_;  // by reader or not, and class
   std::map<std::uint32_t, Record> zones_;
   std::map<std::uint32_t, Sizes> cells_;
-  Sizes all_, most_;  // of what the list has live, now and at most so far
-  std::optional<std::uint32_t> near_;                             // the cell in which its writer is preferred
+  Sizes all_, most_;                   // of what the list has live, now and at most so far
+  std::optional<std::uint32_t> near_;  // the cell in which its writer is preferred
   std::map<std::pair<std::uint32_t, int>, double> found_;         // by class and place
   std::map<std::pair<std::uint32_t, std::uint32_t>, Time> cuts_;  // by cells: reader's, writer's
   std::map<std::uint32_t, Pace> links_;  // the cells' shared links, by first tokens of states that crossed
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
+
 #include "front.hpp"
 
 namespace eiderarch::test {
@@ -375,8 +377,9 @@
 }
 
 TEST(Cold, FrontsThatSeldomHaveARequestWarmItTogether) {
-  // A hundred fronts with one request in two seconds each: none saves up a whole send of its own in that time,
-  // and still the fresh reader is to get some of the ten that a warm one gets, and no more than its part.
+  // A hundred fronts with one request in two seconds each: none saves up a whole send of its own in that
+  // time, and still the fresh reader is to get some of the ten that a warm one gets, and no more than its
+  // part.
   int sends = 0;
   for (std::uint64_t seed = 1; seed <= 400; ++seed) sends += sends_to_a_fresh_reader(400, seed, 1s, 39);
   EXPECT_GE(sends, 2);
@@ -389,6 +392,102 @@
   EXPECT_GT(sends, 5);
 }
 
+// ---- Reports: what a front that seldom sends asks for ----
+
+Settings asking_settings() {
+  Settings s = plain_settings();
+  s.fronts = 100;
+  s.limits.probes = true;
+  s.report_mode = ReportMode::probes;
+  return s;
+}
+
+// One that the list has been told to.
+struct ToldFront : Front {
+  ToldFront() : Front(asking_settings()) { give({ListChanged{ListScope::complete, plain_list()}}); }
+};
+
+// The boxes asked since the last action that was looked at.
+std::vector<EngineId> asked(const std::vector<Action>& actions) {
+  std::vector<EngineId> engines;
+  for (const Action& action : actions) {
+    if (const auto* probe = std::get_if<Probe>(&action)) engines.push_back(probe->engine);
+  }
+  return engines;
+}
+
+ProbeEnded report(EngineId engine, double ktokens) {
+  return {engine, Outcome::served, 2ms, {{ReportField::queued_ktokens, ktokens}}};
+}
+
+TEST(Reports, AJammedHomeReaderIsLeftForAnIdleOne) {
+  ToldFront f;
+  const std::vector<EngineId> home = asked(f.arrive(1));
+  ASSERT_EQ(home.size(), 1U);
+  EXPECT_FALSE(f.sent());
+  const std::vector<EngineId> other = asked(f.give({report(home[0], 90.0)}));
+  ASSERT_EQ(other.size(), 1U);
+  EXPECT_NE(other[0], home[0]);
+  f.give({report(other[0], 0.0)});
+  EXPECT_EQ(f.sent(), other[0]);
+}
+
+TEST(Reports, AnIdleHomeReaderIsAskedAlone) {
+  ToldFront f;
+  const std::vector<EngineId> home = asked(f.arrive(1));
+  ASSERT_EQ(home.size(), 1U);
+  f.give({report(home[0], 0.0)});
+  EXPECT_EQ(f.sent(), home[0]);
+  EXPECT_EQ(f.logged<Probe>(), 1);
+}
+
+TEST(Reports, AFrontThatSendsOftenAsksNobody) {
+  ToldFront f;
+  for (RequestId id = 1; id <= 20; ++id) f.arrive(id);
+  const int before = f.logged<Probe>();
+  for (RequestId id = 21; id <= 40; ++id) f.arrive(id);
+  EXPECT_EQ(f.logged<Probe>(), before);
+}
+
+TEST(Reports, AnAnswerThatStaysOutHoldsNothingUpForLong) {
+  ToldFront f;
+  f.arrive(1);
+  f.run(200ms);
+  EXPECT_EQ(f.logged<Send>(), 1);
+}
+
+TEST(Reports, FiguresThatAreNoneAreNotUsed) {
+  ToldFront f;
+  const std::vector<EngineId> home = asked(f.arrive(1));
+  ASSERT_EQ(home.size(), 1U);
+  f.give({report(home[0], std::numeric_limits<double>::quiet_NaN())});
+  f.run(100ms);
+  EXPECT_EQ(f.logged<Send>(), 1);
+  f.arrive(2);
+  f.give({report(home[0], -5.0)});
+  f.run(100ms);
+  EXPECT_EQ(f.logged<Send>(), 2);
+}
+
+TEST(Reports, WithAnOldListBoxesThatAreGoneCostNoAttempt) {
+  Front f(asking_settings());
+  f.arrive(1);
+  std::set<EngineId> gone;
+  std::size_t answered = 0;
+  for (int round = 0; round < 50 && f.logged<Send>() == 0; ++round) {
+    std::vector<Event> ends;
+    for (const EngineId engine : asked({f.log.begin() + std::ptrdiff_t(answered), f.log.end()})) {
+      const bool runs = engine == kReaderB || engine == kWriterB;
+      if (!runs) gone.insert(engine);
+      ends.push_back(ProbeEnded{engine, runs ? Outcome::served : Outcome::not_connected, 1ms, {}});
+    }
+    answered = f.log.size();
+    ends.empty() ? f.run(20ms) : void(f.give(ends));
+  }
+  EXPECT_FALSE(gone.empty());
+  EXPECT_EQ(f.sent(), kReaderB);
+}
+
 // Further attempts, where every read fails, of requests that come `gap` apart for ten seconds.
 int repeats_when_all_fails(Duration gap) {
   Front f;
