Open the module up: src/router by concern, src/estimates for what is only believed

It becomes a folder with a file for each concern; the list, paces, queues, failing shares, tenants' buckets and the prefix table choose nothing and move to src/estimates.

--- a/include/eiderarch/router.hpp
+++ b/include/eiderarch/router.hpp
@@ -1,5 +1,5 @@
 // The whole interface of eiderarch: settings, events, actions and the Router. The decisions are in
-// src/router.cpp.
+// src/router/.
 #pragma once
 
 #include <chrono>
--- a/src/prefix_table.hpp
+++ b/src/estimates/prefix_table.hpp
@@ -1,5 +1,5 @@
 // What a server is believed to keep, by what was sent there: key to length, bounded, least recently used out
-// first. A container and nothing more; what follows from it is decided in router.cpp.
+// first. A container and nothing more; what follows from it is decided in src/router.
 #pragma once
 
 #include <list>
--- /dev/null
+++ b/src/estimates/quota.hpp
@@ -0,0 +1,34 @@
+// Each tenant's own bucket: what it has sent of late against its share. It counts; what follows is decided
+// elsewhere.
+#pragma once
+
+#include <map>
+
+#include "estimates/figures.hpp"
+
+namespace eiderarch {
+
+constexpr double kTenantDepth = 3.0;  // requests that a tenant may be ahead of its share at one front
+
+class Quotas {
+ public:
+  // Counts one request; whether it is within the tenant's share, `rate` requests a second at this front.
+  bool within(std::uint32_t tenant, double rate, Time now) {
+    const double depth = std::max(rate, kTenantDepth);
+    Bucket& b = buckets_.try_emplace(tenant, Bucket{depth, now}).first->second;
+    b.tokens = std::min(depth, b.tokens + rate * seconds(now - b.at));
+    b.at = now;
+    if (b.tokens < 1.0) return false;
+    b.tokens -= 1.0;
+    return true;
+  }
+
+ private:
+  struct Bucket {
+    double tokens = 0.0;
+    Time at{0};
+  };
+  std::map<std::uint32_t, Bucket> buckets_;
+};
+
+}  // namespace eiderarch
--- /dev/null
+++ b/src/router/arrival.cpp
@@ -0,0 +1,100 @@
+// Arrival and waiting, and the ordinary path: the writer first, then the remainder test, then a reader.
+#include "router/impl.hpp"
+
+namespace eiderarch {
+
+void Router::Impl::on(const RequestArrived& e) {
+  if (requests_.contains(e.id)) return;
+  Request r;
+  r.ask = e;
+  r.ask.resumed &= s_.resume;
+  if (e.request_class < s_.classes.size()) r.cls = s_.classes[e.request_class];
+  r.arrived = now_;
+  r.aim = now_ + r.cls.aim + micros(seconds(r.cls.aim_per_kilotoken) * double(e.prompt_tokens) / 1000.0);
+  r.priority = r.cls.worth * (within_share(e.tenant) ? 1.0 : s_.over_share_worth);
+  if (r.ask.resumed) r.tried = {e.lost_at};                                   // where its answer broke off
+  if (r.ask.resumed) r.priority *= 1.0 + 1.0 / (1.0 + double(e.max_output));  // the nearest to done first
+  known_.arrivals.emplace_back(now_, r.priority);
+  while (seconds(now_ - known_.arrivals.front().first) > Beliefs::kRateWindow) known_.arrivals.pop_front();
+  const double most = std::clamp(double(known_.arrivals.size()), kRetryLeast, kRetryBurst);
+  retries_ = std::min(most, retries_ + (r.ask.resumed ? 0.0 : kRetryShare));
+  requests_.emplace(e.id, std::move(r));
+  waiting_.push_back(e.id);
+}
+
+// What comes beyond a tenant's share is worth little and waits behind the rest.
+bool Router::Impl::within_share(std::uint32_t tenant) {
+  if (tenant >= s_.tenants.size() || s_.tenants[tenant].quota_per_second <= 0.0) return true;
+  return quotas_.within(tenant, s_.tenants[tenant].quota_per_second / std::max(1U, s_.fronts), now_);
+}
+
+void Router::Impl::dispatch_waiting() {
+  if (waiting_.empty()) return;
+  std::vector<Request*> left;
+  for (const RequestId id : std::exchange(waiting_, {})) {
+    const auto it = requests_.find(id);
+    if (it != requests_.end() && it->second.stage == Stage::waiting) left.push_back(&it->second);
+  }
+  std::ranges::stable_sort(left, std::ranges::greater(), &Request::priority);
+  std::erase_if(left, [this](Request* r) { return possible(*r) ? dispatch(*r) : give_up(*r); });
+  for (Request* r : left) {
+    // Late work displaces work that would be on time: what can no longer make its aim is turned away before
+    // its client has waited in vain. Harm: one that would have earned the late worth is lost.
+    const bool too_late =
+        now_ + micros(known_.usual_pace(false) * kBaseWork) >= r->aim || now_ + kReclaim >= r->ask.deadline;
+    if (!too_late || !give_up(*r)) waiting_.push_back(r->ask.id);
+  }
+}
+
+// Whether waiting can still lead anywhere: attempts are left and some server listed may write its answer.
+bool Router::Impl::possible(const Request& r) const {
+  if (r.ask.request_class >= s_.classes.size() || int(r.attempts.size()) >= s_.limits.max_attempts)
+    return false;
+  // Alone, with the budget spent and every server tried, there is nothing to wait for but other arrivals.
+  const bool spent = s_.fronts <= 1 && r.again() && retries_ < 1.0;
+  bool read = false, write = false;
+  for (const auto& [id, e] : known_.engines) {
+    if (!e.live() || (spent && !untried(e, r))) continue;
+    read |= e.reads() || s_.writers_read || e.role == Role::both;
+    write |= !e.reads() && repeat_allowed(e, r);
+  }
+  return read && write;
+}
+
+bool Router::Impl::dispatch(Request& r) {
+  find_home(r);
+  Engine* writer = choose_writer(r, nullptr);
+  if (writer == nullptr || unproven(*writer)) return false;
+  const Tokens remainder = r.ask.prompt_tokens - kept(*writer, r);
+  const bool can_read = s_.writers_read || writer->role == Role::both;
+  const bool short_one = remainder <= kLocalRemainder || r.ask.prompt_tokens <= kShortPrompt;
+  const bool last_try = int(r.attempts.size()) + 2 > s_.limits.max_attempts;
+  if (can_read && (short_one || last_try)) return send(r, *writer, false);
+  if (!last_try && ask(r, *writer)) return false;
+  Engine* reader = last_try ? nullptr : choose_reader(r, *writer);
+  // Exception: with no reader to be had, or where a read costs far more than one in place (unseen
+  // beginnings, surges, slow links), a writer that can read does so. Harm: its running answers slow down.
+  const double local = known_.pace(*writer) * (known_.queue_told(*writer) + kBaseWork + double(remainder));
+  const double detour = (writer->role == Role::both ? kDetourBoth : kDetourWriter) * local;
+  if (can_read && (reader == nullptr ? home_ == 0 : read_cost(*reader, *writer, r) > detour)) {
+    if (listen(*writer)) return false;
+    if (now_ - writer->told_at < kTrustTold && local > kOnTime * seconds(r.aim - now_)) return false;
+    return send(r, *writer, false);
+  }
+  if (reader == nullptr || unproven(*reader)) return false;
+  const double cost = read_cost(*reader, *writer, r);
+  if (reader->work <= 0.0 && !admitted(r, *reader, cost)) return give_up(r);
+  // A queue of its own that would make it late is not joined; it waits here, where worth goes first.
+  if ((reader->work > 0.0 || now_ - reader->told_at < kTrustTold) && cost > kOnTime * seconds(r.aim - now_))
+    return false;
+  r.writer = writer->entry.engine;
+  if (!send(r, *reader, true)) return false;
+  plan(r, true);
+  if (s_.claim_ahead) {
+    actions_.emplace_back(ClaimWriter{r.ask.id, r.writer});
+    r.claimed = true;
+  }
+  return true;
+}
+
+}  // namespace eiderarch
--- /dev/null
+++ b/src/router/router.cpp
@@ -0,0 +1,34 @@
+// One moment of a front: its events in order of arrival, then what waits.
+#include <utility>
+
+#include "router/impl.hpp"
+
+namespace eiderarch {
+
+std::vector<Action> Router::Impl::handle(Time now, const std::vector<Event>& events) {
+  now_ = now;
+  known_.at(now);
+  if (!started_ && s_.list_mode == ListMode::on_request) actions_.emplace_back(Subscribe{});
+  started_ = true;
+  for (const Event& event : events) std::visit([this](const auto& e) { on(e); }, event);
+  dispatch_waiting();
+  std::erase_if(requests_, [](const auto& p) { return p.second.stage == Stage::over && !p.second.out(); });
+  const auto waiting = [](const auto& p) { return p.second.stage < Stage::streaming; };
+  const bool waits = std::ranges::any_of(requests_, waiting);
+  if (!armed_ && (waits || resubscribe_.has_value())) {
+    actions_.emplace_back(SetTimer{kSweepTag, now_ + kSweep});
+    armed_ = true;
+  }
+  return std::exchange(actions_, {});
+}
+
+Router::Router(const Settings& settings) : impl_(std::make_unique<Impl>(settings)) {}
+Router::~Router() = default;
+Router::Router(Router&&) noexcept = default;
+Router& Router::operator=(Router&&) noexcept = default;
+
+std::vector<Action> Router::handle(Time now, const std::vector<Event>& events) {
+  return impl_->handle(now, events);
+}
+
+}  // namespace eiderarch
--- /dev/null
+++ b/src/router/writer.cpp
@@ -0,0 +1,54 @@
+// The choice of a writer.
+#include "router/impl.hpp"
+
+namespace eiderarch {
+
+// Score: prefix match plus low load. A match never wins at a server with more of this front's requests than
+// the median, for only those up to the median are compared. Ties go by rendezvous hash.
+Engine* Router::Impl::choose_writer(const Request& r, const Engine* holder) {
+  const std::vector<Engine*> pool = candidates(r, false);
+  if (pool.empty()) return nullptr;
+  std::vector<int> counts;
+  double mean = 0.0;
+  for (const Engine* e : pool) {
+    counts.push_back(e->out);
+    mean += e->held / double(pool.size());
+  }
+  const auto middle = counts.begin() + std::ptrdiff_t((counts.size() - 1) / 2);
+  std::nth_element(counts.begin(), middle, counts.end());
+  const double median = known_.usual_pace(false);
+  const double usual_doubt = known_.role_doubt(false, r.ask.request_class);
+  mean = std::max(mean, footprint(r));  // below one request an even share says nothing
+  Engine* best = nullptr;
+  double best_score = 0.0;
+  for (Engine* e : pool) {
+    const double failing = known_.doubt(*e, r.ask.request_class, usual_doubt);
+    const bool proven = usual_doubt >= kSick && failing < usual_doubt / 2.0;
+    if (e->out > *middle + (proven ? kProvenMore : 0) || !memory_room(*e, r)) continue;
+    if (s_.fronts <= 1 && !affordable(*e, r)) continue;
+    const double match = double(kept(*e, r)) / double(std::max<Tokens>(1, r.ask.prompt_tokens));
+    double score = kMatchWeight * match - kLoadWeight * e->held / mean - kDoubtWeight * failing;
+    score -= kSlowWeight * known_.pace(*e) / median + (e->entry.zone == s_.zone ? 0.0 : kZoneWeight);
+    if (now_ - e->told_at < kTrustTold) score -= known_.pace(*e) * known_.queue_told(*e) / seconds(r.cls.aim);
+    if (holder == nullptr && near_ == e->entry.cell) score += kNearWeight;
+    if (holder != nullptr) score -= move_cost(*holder, *e, r.ask.prompt_tokens);
+    if (best != nullptr && !better(score, *e, best_score, *best, r)) continue;
+    best = e;
+    best_score = score;
+  }
+  return best;
+}
+
+// Ties spread by session, each server by its size: a hot beginning does not draw all fronts to one writer.
+bool Router::Impl::better(double score, const Engine& e, double best, const Engine& b, const Request& r) {
+  if (std::abs(score - best) > kTie) return score > best;
+  return rank(r.ask.session, e) > rank(r.ask.session, b);
+}
+
+bool Router::Impl::memory_room(const Engine& e, const Request& r) const {
+  if (e.memory <= 0 || e.held <= 0.0) return true;
+  const double share = fill_ * double(e.memory) / double(std::max(1U, s_.fronts));
+  return e.held + footprint(r) <= share;
+}
+
+}  // namespace eiderarch
