--- a/src/estimates/beliefs.cpp
+++ b/src/estimates/beliefs.cpp
@@ -19,7 +19,7 @@
       engine.by_class.clear();
       engine.cold_credit = 1.0;
       engine.cold_at = now;
-      engine.aside_until = engine.full_until = engine.told_at = -1h;
+      engine.aside_until = engine.full_until = engine.told_at = engine.share_at = -1h;
     }
     engine.entry = entry;
     engine.role = settings.kinds[entry.kind].role;
@@ -57,6 +57,21 @@
   return it == found.end() ? kFoundFirst / (1.0 + place) : it->second;
 }
 
+void Beliefs::hear(Engine& e, const LoadReport& report) const {
+  for (const LoadValue& value : report) {
+    if (value.field != ReportField::memory_share || !(value.value >= 0.0)) continue;
+    e.told_share = std::min(value.value, 1.0);
+    e.share_at = now;
+    e.held_then = e.held;
+  }
+}
+
+double Beliefs::filled(const Engine& e) const {
+  if (e.memory <= 0) return 0.0;
+  const double since = e.told_share * double(e.memory) + e.held - e.held_then;
+  return std::max(e.held, since) / double(e.memory);
+}
+
 void Beliefs::learn_found(std::uint32_t cls, int place, Tokens prompt, Tokens told) {
   const double share = found_share(cls, place);
   const double heard = double(told) / double(std::max<Tokens>(1, prompt));
--- a/src/estimates/beliefs.hpp
+++ b/src/estimates/beliefs.hpp
@@ -19,11 +19,11 @@
 constexpr double kNearMove = 4e-6;      // seconds a token moved inside a cell, until measured
 constexpr double kFirstDoubt = 0.05;    // failing share taken before anything was heard
 constexpr double kSick = 0.2;  // failing share of a class over a role from which proven servers count more
-constexpr double kFoundFirst = 0.6;     // part of a prompt kept at its home reader, until answers tell
-constexpr double kCutCost = 5.0;        // seconds; what such a path is taken to cost
-constexpr Duration kAskWait = 30ms;     // how long a request waits for reports; a round trip takes a few ms
-constexpr double kFirstJam = 2e4;       // tokens; a second of a reader's work
-constexpr double kToldFade = 1.0;       // seconds in which a report goes over to the role's usual
+constexpr double kFoundFirst = 0.6;  // part of a prompt kept at its home reader, until answers tell
+constexpr double kCutCost = 5.0;     // seconds; what such a path is taken to cost
+constexpr Duration kAskWait = 30ms;  // how long a request waits for reports; a round trip takes a few ms
+constexpr double kFirstJam = 2e4;    // tokens; a second of a reader's work
+constexpr double kToldFade = 1.0;    // seconds in which a report goes over to the role's usual
 
 struct Beliefs {
   explicit Beliefs(const Settings& s) : settings(s) {}
@@ -44,6 +44,10 @@
   [[nodiscard]] double queue(const Engine& e) const;
   [[nodiscard]] double queue_told(const Engine& e) const;
   [[nodiscard]] double found_share(std::uint32_t cls, int place) const;
+  // Takes the share of its memory that a server tells in an answer; other fields are passed over.
+  void hear(Engine& e, const LoadReport& report) const;
+  // Share of its memory that is taken, as told and by own sends since; 0 where its size is not known.
+  [[nodiscard]] double filled(const Engine& e) const;
   void learn_found(std::uint32_t cls, int place, Tokens prompt, Tokens told);
   [[nodiscard]] double move_time(const Engine& from, const Engine& to, Tokens tokens) const;
   [[nodiscard]] double usual_pace(bool readers) const;
--- a/src/estimates/engine.hpp
+++ b/src/estimates/engine.hpp
@@ -29,6 +29,9 @@
   Time aside_until{0};
   Duration aside_for = kEjectFirst;
   Time full_until{0};
+  double told_share = 0.0;  // of its memory that is taken, of all fronts, as it told at `share_at`
+  double held_then = 0.0;   // `held` at that time
+  Time share_at = -1h;
   double told = 0.0;  // tokens that all fronts have waiting there, as it reported at `told_at`
   Time told_at = -1h, asked_at = -1h;  // at first: long ago
   bool asked = false;                  // a probe is out
--- a/src/router/attempts.cpp
+++ b/src/router/attempts.cpp
@@ -110,6 +110,7 @@
   e.out -= 1;
   e.work -= a.work;
   if (!a.reader) e.held -= footprint(r);
+  known_.hear(e, end.report);
   const Outcome o = end.outcome;
   if (o == Outcome::state_held) {
     known_.sample(e, seconds(end.elapsed) / a.ahead);
--- a/src/router/impl.hpp
+++ b/src/router/impl.hpp
@@ -28,11 +28,13 @@
   // ---- writer.cpp ----
   Engine* choose_writer(const Request& r, const Engine* holder);
   static bool better(double score, const Engine& e, double best, const Engine& b, const Request& r);
+  [[nodiscard]] bool near_room(const Engine& e) const;
   [[nodiscard]] bool memory_room(const Engine& e, const Request& r) const;
 
   // ---- reader.cpp ----
   void find_home(const Request& r);
   Engine* choose_reader(const Request& r, const Engine& writer);
+  [[nodiscard]] double away(const Engine& e) const;
   bool ask(const Request& r, const Engine& writer);
   bool listen(Engine& e);
   [[nodiscard]] bool blind(const Engine& e) const;
--- a/src/router/reader.cpp
+++ b/src/router/reader.cpp
@@ -9,7 +9,7 @@
   std::vector<std::pair<double, EngineId>> ranks;
   for (const auto& [id, e] : known_.engines) {
     if (!e.reads() || !e.live() || now_ < e.aside_until) continue;
-    ranks.emplace_back(-rank(r.ask.prefix != 0 ? r.ask.prefix : r.ask.session, e), id);
+    ranks.emplace_back(away(e) - rank(r.ask.prefix != 0 ? r.ask.prefix : r.ask.session, e), id);
   }
   home_ = 0;
   homes_.clear();
@@ -18,7 +18,8 @@
   const auto homes = ranks.begin() + std::ptrdiff_t(std::min(kHomes, ranks.size()));
   std::partial_sort(ranks.begin(), homes, ranks.end());
   for (auto it = ranks.begin(); it != homes; ++it) {
-    it->first = -rank(r.ask.session, *known_.find(it->second));
+    const Engine& e = *known_.find(it->second);
+    it->first = away(e) - rank(r.ask.session, e);
     homes_.push_back(it->second);
   }
   home_ = std::min_element(ranks.begin(), homes)->second;
@@ -30,6 +31,11 @@
   if (unit(mix(r.ask.session, cell + 1)) < part) near_ = cell;
 }
 
+// Ranks readers of other zones after all of the own, where a crossing is dear.
+double Router::Impl::away(const Engine& e) const {
+  return e.entry.zone == s_.zone || s_.prices.cross_zone <= kCrossDear ? 0.0 : 1e6;
+}
+
 // In seconds: the wait for own work there, the read of what is not kept, the move to the writer.
 Engine* Router::Impl::choose_reader(const Request& r, const Engine& writer) {
   Engine* best = nullptr;
@@ -91,7 +97,8 @@
   const Tokens found = std::max(kept(e, r), Tokens(share * double(r.ask.prompt_tokens)));
   const double read = kBaseWork + double(r.ask.prompt_tokens - found);
   return known_.pace(e) * ((idle ? 0.0 : known_.queue(e)) + read) +
-         move_cost(e, writer, r.ask.prompt_tokens);
+         move_cost(e, writer, r.ask.prompt_tokens) +
+         (e.entry.zone == s_.zone ? 0.0 : kCrossPrice * s_.prices.cross_zone);
 }
 
 // The time of a move, and what it costs by the settings' price for tokens moved out of their cell.
--- a/src/router/writer.cpp
+++ b/src/router/writer.cpp
@@ -6,8 +6,12 @@
 // Score: prefix match plus low load. A match never wins at a server with more of this front's requests than
 // the median, for only those up to the median are compared. Ties go by rendezvous hash.
 Engine* Router::Impl::choose_writer(const Request& r, const Engine* holder) {
-  const std::vector<Engine*> pool = candidates(r, false);
+  std::vector<Engine*> pool = candidates(r, false);
   if (pool.empty()) return nullptr;
+  // Of a state that waits the price is in the move, from wherever it lies.
+  const bool near =
+      holder == nullptr && std::ranges::any_of(pool, [&](const Engine* e) { return near_room(*e); });
+  if (near) std::erase_if(pool, [&](const Engine* e) { return !near_room(*e); });
   std::vector<int> counts;
   double mean = 0.0;
   for (const Engine* e : pool) {
@@ -24,7 +28,7 @@
   for (Engine* e : pool) {
     const double failing = known_.doubt(*e, r.ask.request_class, usual_doubt);
     const bool proven = usual_doubt >= kSick && failing < usual_doubt / 2.0;
-    if (e->out > *middle + (proven ? kProvenMore : 0) || !memory_room(*e, r)) continue;
+    if (e->out > *middle + (proven ? kProvenMore : 0) || (!near && !memory_room(*e, r))) continue;
     if (s_.fronts <= 1 && !affordable(*e, r)) continue;
     const double match = double(kept(*e, r)) / double(std::max<Tokens>(1, r.ask.prompt_tokens));
     double score = kMatchWeight * match - kLoadWeight * e->held / mean - kDoubtWeight * failing;
@@ -39,6 +43,14 @@
   return best;
 }
 
+// Where a crossing between zones is dear, servers of the own zone come first while they say that they have
+// room. Symptom: all is served in time, yet every second request pays for crossing and for a far move. Harm:
+// none where servers tell nothing, for then this rests; a zone's rush fills its own servers to kRoomFull.
+bool Router::Impl::near_room(const Engine& e) const {
+  return s_.prices.cross_zone > kCrossDear && e.entry.zone == s_.zone && now_ - e.share_at < kRoomAge &&
+         known_.filled(e) < kRoomFull && known_.pace(e) < kRoomPace * known_.usual_pace(e.reads());
+}
+
 // Ties spread by session, each server by its size: a hot beginning does not draw all fronts to one writer.
 bool Router::Impl::better(double score, const Engine& e, double best, const Engine& b, const Request& r) {
   if (std::abs(score - best) > kTie) return score > best;
