--- a/src/app/request_log.cpp
+++ b/src/app/request_log.cpp
@@ -35,10 +35,11 @@
 
 }  // namespace
 
-core::Conductor::Observer request_log(std::vector<std::string> classes) {
-  return [classes = std::move(classes)](const core::RequestRecord& record) {
+core::Conductor::Observer request_log(std::vector<std::string> classes, std::vector<std::string> tenants) {
+  return [classes = std::move(classes), tenants = std::move(tenants)](const core::RequestRecord& record) {
     const eiderarch::RequestArrived& facts = record.ask.facts;
-    const std::string& tenant = record.ask.payload->tenant;
+    std::string tenant = record.ask.payload->tenant;
+    if (tenant.empty() && facts.tenant < tenants.size()) tenant = tenants[facts.tenant];
     const bool known = facts.request_class < classes.size();
     log::write("request", word(record.result), [&]() -> nlohmann::json {
       return {{"request_id", record.ask.payload->id},
--- a/src/app/request_log.hpp
+++ b/src/app/request_log.hpp
@@ -9,6 +9,7 @@
 namespace bankmux::app {
 
 // `classes`: names, by the number that requests carry.
-core::Conductor::Observer request_log(std::vector<std::string> classes);
+core::Conductor::Observer request_log(std::vector<std::string> classes,
+                                      std::vector<std::string> tenants = {});
 
 }  // namespace bankmux::app
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -108,8 +108,8 @@
   net::DiscoveryWatch discovery(loop, config,
                                 [&](core::FleetNews news) { conductor->news(std::move(news)); });
   conductor.emplace(core_settings(config.module, bounds), loop, instances, discovery, log_line);
-  conductor->observe(request_log(config.classes));
-  net::PlatformFront front(*conductor, loop, config.classes);
+  conductor->observe(request_log(config.classes, config.tenants));
+  net::PlatformFront front(*conductor, loop, config.classes, config.tenants);
   net::HttpServer server(
       loop, config.listen,
       [&](std::unique_ptr<net::Incoming> incoming) { front.handle(std::move(incoming)); }, bounds.clients);
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -72,6 +72,7 @@
   if (!f.has("settings")) f.bad("settings", "is missing");
   const Fields settings = f.section("settings");
   for (const Fields& row : settings.objects("categories")) c.classes.push_back(row.text("name"));
+  for (const Fields& row : settings.objects("tenants")) c.tenants.push_back(row.text("name"));
   c.zones = settings.texts("azs");
   c.kinds = settings.texts("skus");
   const Fields policy = settings.section("policyLimits");
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -21,6 +21,7 @@
   std::size_t memory_mb = 192;
   eiderarch::Settings module;
   std::vector<std::string> classes;
+  std::vector<std::string> tenants;  // none: the site has no shares
   std::vector<std::string> zones;
   std::vector<std::string> kinds;
   core::Duration connect_timeout{250'000};
--- a/src/net/platform/platform_front.cpp
+++ b/src/net/platform/platform_front.cpp
@@ -73,7 +73,8 @@
   if (!prompt) throw BadHeader{"X-Labels lacks prompt_len"};
 }
 
-core::Ask read_ask(Incoming& incoming, core::Time now, const std::vector<std::string>& classes) {
+core::Ask read_ask(Incoming& incoming, core::Time now, const std::vector<std::string>& classes,
+                   const std::vector<std::string>& tenants) {
   core::Ask ask;
   auto payload = std::make_shared<core::Payload>();
   payload->id = request_name(incoming);
@@ -81,6 +82,10 @@
   const auto cls = std::ranges::find(classes, lane);
   if (cls == classes.end()) throw BadHeader{"X-Lane names no class: '" + lane + "'"};
   ask.facts.request_class = std::uint32_t(cls - classes.begin());
+  // Whose request it is, where the settings have tenants; one that they don't name has no share.
+  const std::string tenant = incoming.header("X-Org");
+  if (tenant.size() > kMostName) throw BadHeader{"X-Org is too long"};
+  ask.facts.tenant = std::uint32_t(std::ranges::find(tenants, tenant) - tenants.begin());
   ask.facts.session = eiderarch::wire::key_of(needed(incoming, "X-Entity"));
   const auto wait = whole(needed(incoming, "X-Remaining-Ms"), kMostMs, "X-Remaining-Ms");
   ask.facts.deadline = now + std::chrono::milliseconds(wait);
@@ -126,7 +131,7 @@
   }
   core::Ask ask;
   try {
-    ask = read_ask(*incoming, scheduler_.now(), classes_);
+    ask = read_ask(*incoming, scheduler_.now(), classes_, tenants_);
   } catch (const BadHeader& bad) {
     incoming->answer(400, {}, bad.what + "\n");
     return;
--- a/src/net/platform/platform_front.hpp
+++ b/src/net/platform/platform_front.hpp
@@ -15,8 +15,12 @@
  public:
   using Names = std::shared_ptr<std::set<std::string>>;
 
-  PlatformFront(core::Conductor& conductor, core::Scheduler& scheduler, std::vector<std::string> classes)
-      : conductor_(conductor), scheduler_(scheduler), classes_(std::move(classes)) {}
+  PlatformFront(core::Conductor& conductor, core::Scheduler& scheduler, std::vector<std::string> classes,
+                std::vector<std::string> tenants)
+      : conductor_(conductor),
+        scheduler_(scheduler),
+        classes_(std::move(classes)),
+        tenants_(std::move(tenants)) {}
 
   void handle(std::unique_ptr<Incoming> incoming);
   void set_ready(bool ready) { ready_ = ready; }
@@ -24,7 +28,7 @@
  private:
   core::Conductor& conductor_;
   core::Scheduler& scheduler_;
-  std::vector<std::string> classes_;
+  std::vector<std::string> classes_, tenants_;
   Names open_ = std::make_shared<std::set<std::string>>();  // of the requests that are open
   bool ready_ = true;
 };
--- a/src/router/arrival.cpp
+++ b/src/router/arrival.cpp
@@ -12,12 +12,12 @@
   r.arrived = now_;
   r.aim = now_ + r.cls.aim + micros(seconds(r.cls.aim_per_kilotoken) * double(e.prompt_tokens) / 1000.0);
   r.priority = r.cls.worth * (within_share(e.tenant) ? 1.0 : s_.over_share_worth);
-  if (r.ask.resumed) r.tried = {e.lost_at};                                   // where its answer broke off
+  if (r.lost()) r.tried = {e.lost_at};                                        // where its answer broke off
   if (r.ask.resumed) r.priority *= 1.0 + 1.0 / (1.0 + double(e.max_output));  // the nearest to done first
   known_.arrivals.emplace_back(now_, r.priority);
   while (seconds(now_ - known_.arrivals.front().first) > Beliefs::kRateWindow) known_.arrivals.pop_front();
   const double most = std::clamp(double(known_.arrivals.size()), kRetryLeast, kRetryBurst);
-  retries_ = std::min(most, retries_ + (r.ask.resumed ? 0.0 : kRetryShare));
+  retries_ = std::min(most, retries_ + (r.lost() ? 0.0 : kRetryShare));
   requests_.emplace(e.id, std::move(r));
   waiting_.push_back(e.id);
 }
--- a/src/router/request.hpp
+++ b/src/router/request.hpp
@@ -45,7 +45,9 @@
 
   [[nodiscard]] bool out() const { return std::ranges::any_of(attempts, &Attempt::out); }
   [[nodiscard]] bool was_read() const { return std::ranges::any_of(attempts, &Attempt::reader); }
-  [[nodiscard]] bool again() const { return (!attempts.empty() || ask.resumed) && stage == Stage::waiting; }
+  // Its answer was lost here and goes on; one whose client came again by itself is as good as new.
+  [[nodiscard]] bool lost() const { return ask.resumed && ask.lost_at != 0; }
+  [[nodiscard]] bool again() const { return (!attempts.empty() || lost()) && stage == Stage::waiting; }
 };
 
 // Tokens of its prompt that a server is believed to keep.
--- a/tests/stories/platform_stories.cpp
+++ b/tests/stories/platform_stories.cpp
@@ -65,6 +65,31 @@
   }
 }
 
+// All told under the first tenant's name, the others would go beyond its share and wait behind everyone.
+TEST_CASE("X-Org tells the tenant by the name that the settings give it") {
+  Record seen;
+  Peer writer(instance(seen, [&](Wire& wire, const Message&) {
+    wire.send(events({"{\"x\":1}", "[DONE]"}));
+    return true;
+  }));
+  nlohmann::json settings = site_settings();
+  settings["tenants"] = {{{"name", "first"}, {"quotaRps", 9.0}, {"fraction", 0.5}},
+                         {{"name", "second"}, {"quotaRps", 9.0}, {"fraction", 0.5}}};
+  Platform platform({{"w", "escritura", writer.address()}}, settings);
+  for (const char* org : {"second", "first", "nobody"}) {
+    CHECK(platform.ask(client_request(org, "consulta", 5000, 100, std::string("X-Org: ") + org + "\r\n"))
+              .starts_with("HTTP/1.1 200"));
+  }
+  CHECK(platform.ask(client_request("t9", "consulta", 5000, 100, "X-Org: " + std::string(200, 'x') + "\r\n"))
+            .starts_with("HTTP/1.1 400"));
+  platform.program().terminate();
+  platform.program().wait();
+  const std::string log = platform.program().output();
+  for (const char* told : {"\"second\"", "\"first\"", "2"}) {  // the last has no share
+    CHECK(has(log, "\"tenant\":" + std::string(told)));
+  }
+}
+
 TEST_CASE("A client that leaves while its read is out ends the read at once, and its state is let go") {
   Record seen;
   Peer reader(instance(seen, [&](Wire& wire, const Message&) {
