--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -72,7 +72,11 @@
   if (!f.has("settings")) f.bad("settings", "is missing");
   const Fields settings = f.section("settings");
   for (const Fields& row : settings.objects("categories")) c.classes.push_back(row.text("name"));
-  for (const Fields& row : settings.objects("tenants")) c.tenants.push_back(row.text("name"));
+  // Some sites have no tenants, and say so by an empty list or by none.
+  const json tenants = document.at("settings").value("tenants", json());
+  if (!tenants.is_null() && tenants != json::array()) {
+    for (const Fields& row : settings.objects("tenants")) c.tenants.push_back(row.text("name"));
+  }
   c.zones = settings.texts("azs");
   c.kinds = settings.texts("skus");
   const Fields policy = settings.section("policyLimits");
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -65,6 +65,18 @@
   CHECK(config::parse_config(document(), environment).name == "n9");
 }
 
+TEST_CASE("A site has tenants or none; what has no name is a fault") {
+  json site = document();
+  for (const json& none : {json(), json::array()}) {
+    site["settings"]["tenants"] = none;
+    CHECK(config::parse_config(site, nothing).tenants.empty());
+  }
+  site["settings"]["tenants"] = json::parse(R"([{"name": "a", "quotaRps": 1.0}, {"name": "b"}])");
+  CHECK(config::parse_config(site, nothing).tenants == std::vector<std::string>{"a", "b"});
+  site["settings"]["tenants"][1] = {{"quotaRps", 1.0}};
+  CHECK_THROWS_WITH(config::parse_config(site, nothing), Catch::Contains("'settings.tenants[1].name'"));
+}
+
 TEST_CASE("A fault in the platform's configuration names its key") {
   check_faults(
       document(),
