Leave failing writers out before the median, and only where an untried one is left

The hopeless are now taken out of the pool first, where a sound one that this request has not tried lives (choose_writer). Ruled out: the budget itself, untouched. The test of the rule still fails without it.

--- a/src/router/writer.cpp
+++ b/src/router/writer.cpp
@@ -7,6 +7,16 @@
 // the median, for only those up to the median are compared. Ties go by rendezvous hash.
 Engine* Router::Impl::choose_writer(const Request& r, const Engine* holder) {
   std::vector<Engine*> pool = candidates(r, false);
+  // Symptom: a box that fails at once is always idle, and where the others have no room it gets all. Harm: a
+  // request waits, or is refused with advice, that would have had a small chance there.
+  const double usual_doubt = known_.role_doubt(false, r.ask.request_class);
+  const auto hopeless = [&](const Engine& e) {
+    return known_.doubt(e, r.ask.request_class, usual_doubt) > kHopeless;
+  };
+  const bool some_work = std::ranges::any_of(known_.engines, [&](const auto& p) {
+    return !p.second.reads() && p.second.live() && untried(p.second, r) && !hopeless(p.second);
+  });
+  if (some_work) std::erase_if(pool, [&](const Engine* e) { return hopeless(*e); });
   if (pool.empty()) return nullptr;
   // Of a state that waits the price is in the move, from wherever it lies.
   const bool near =
@@ -21,19 +31,11 @@
   const auto middle = counts.begin() + std::ptrdiff_t((counts.size() - 1) / 2);
   std::nth_element(counts.begin(), middle, counts.end());
   const double median = known_.usual_pace(false);
-  const double usual_doubt = known_.role_doubt(false, r.ask.request_class);
   mean = std::max(mean, footprint(r));  // below one request an even share says nothing
-  // Symptom: a box that fails at once is always idle, and where the others have no room it gets all. Harm: a
-  // request waits, or is refused with advice, that would have had a small chance there.
-  const bool some_work = std::ranges::any_of(known_.engines, [&](const auto& p) {
-    const Engine& e = p.second;
-    return !e.reads() && e.live() && known_.doubt(e, r.ask.request_class, usual_doubt) <= kHopeless;
-  });
   Engine* best = nullptr;
   double best_score = 0.0;
   for (Engine* e : pool) {
     const double failing = known_.doubt(*e, r.ask.request_class, usual_doubt);
-    if (some_work && failing > kHopeless) continue;
     const bool proven = usual_doubt >= kSick && failing < usual_doubt / 2.0;
     if (e->out > *middle + (proven ? kProvenMore : 0) || (!near && !memory_room(*e, r))) continue;
     if (s_.fronts <= 1 && !affordable(*e, r)) continue;
