--- a/src/router/reader.cpp
+++ b/src/router/reader.cpp
@@ -103,7 +103,10 @@
 
 // The time of a move, and what it costs by the settings' price for tokens moved out of their cell.
 double Router::Impl::move_cost(const Engine& from, const Engine& to, Tokens tokens) const {
-  const double price = from.entry.cell == to.entry.cell ? 0.0 : kFarPricePace * s_.prices.far_tokens;
+  const double price =
+      from.entry.cell == to.entry.cell
+          ? 0.0
+          : (s_.fronts >= kManyFronts ? kFarPriceMany : kFarPricePace) * s_.prices.far_tokens;
   return known_.move_time(from, to, tokens) + price * double(tokens);
 }
 
