--- a/bench/parse_bench.cpp
+++ b/bench/parse_bench.cpp
@@ -8,7 +8,7 @@
 #include "net/openai/facts.hpp"
 #include "net/openai/json_reader.hpp"
 #include "net/openai/request_rules.hpp"
-#include "net/sse/event_splitter.hpp"
+#include "sse/event_splitter.hpp"
 
 using namespace bankmux;
 using nlohmann::json;
@@ -75,7 +75,7 @@
   const std::string text = stream();
   for (auto _ : state) {
     std::size_t events = 0;
-    net::EventSplitter splitter(1 << 20);
+    sse::EventSplitter splitter(1 << 20);
     splitter.feed(text, [&events](std::string_view) { ++events; });
     benchmark::DoNotOptimize(events);
   }
--- a/src/net/instances/instance_client.cpp
+++ b/src/net/instances/instance_client.cpp
@@ -5,8 +5,8 @@
 #include <optional>
 #include <utility>
 
-#include "net/sse/event_splitter.hpp"
-#include "net/sse/stream_scanner.hpp"
+#include "sse/event_splitter.hpp"
+#include "sse/stream_scanner.hpp"
 
 namespace bankmux::net {
 
@@ -114,7 +114,7 @@
       over_ = scanner_.done() || (scanner_.failed() && !begun_) || too_long_;
       if (scanner_.failed() && !begun_) return;
       // Comments are no answer yet. They wait for its first event.
-      if (!begun_ && only_comments(event)) {
+      if (!begun_ && sse::only_comments(event)) {
         if (lead_.size() + event.size() <= kMostLead) lead_ += event;
         return;
       }
@@ -130,16 +130,16 @@
   void on_end(bool whole) override {
     const ResponseParser& response = exchange_.response();
     end_.reset();
-    if (whole && !streamed_ && response.status() == 200) whole_found_ = cached_tokens(body_);
+    if (whole && !streamed_ && response.status() == 200) whole_found_ = sse::cached_tokens(body_);
     AttemptResult result;
     result.progress = exchange_.progress();
     result.verdict = verdict(whole && !too_long_);
     result.report = scanner_.report();
     result.told = scanner_.failed();
     if (const auto report = response.header("X-Pressure"); !report.empty())
-      result.report = parse_report(report);
+      result.report = sse::parse_report(report);
     result.found = scanner_.found();
-    if (result.verdict == Verdict::state_held) result.found = cached_tokens(body_).value_or(0);
+    if (result.verdict == Verdict::state_held) result.found = sse::cached_tokens(body_).value_or(0);
     if (result.verdict == Verdict::rejected) {
       result.answer = std::make_shared<core::Answer>(
           core::Answer{response.status(), std::string(response.header("Content-Type")), body_});
@@ -199,8 +199,8 @@
   std::size_t most_body_;
   bool too_long_ = false;
   bool begun_ = false, over_ = false;
-  EventSplitter splitter_{kMostEvent};
-  StreamScanner scanner_;
+  sse::EventSplitter splitter_{kMostEvent};
+  sse::StreamScanner scanner_;
   std::string lead_;
   std::string body_;
   std::optional<core::Tokens> whole_found_;  // in a whole answer
@@ -297,7 +297,7 @@
                          : status == 503 ? Verdict::turned_away
                          : status == 0   ? Verdict::broken
                                          : Verdict::error;
-        result.report = parse_report(call.body());
+        result.report = sse::parse_report(call.body());
         done(result);
       });
 }
--- a/src/net/openai/answer_writer.cpp
+++ b/src/net/openai/answer_writer.cpp
@@ -1,7 +1,7 @@
 #include "net/openai/answer_writer.hpp"
 
 #include "net/openai/errors.hpp"
-#include "net/sse/event_splitter.hpp"
+#include "sse/event_splitter.hpp"
 
 namespace bankmux::net::openai {
 
@@ -25,7 +25,7 @@
   std::string events(std::string_view bytes) override {
     std::string out;
     splitter_.feed(bytes, [&](std::string_view event) {
-      const std::string data = event_data(event);
+      const std::string data = sse::event_data(event);
       if (data == "[DONE]" && !told_) out += chunk();
       look(data);
       out += event;
@@ -62,7 +62,7 @@
   }
 
   core::Tokens prompt_;
-  EventSplitter splitter_{kNoLimit};
+  sse::EventSplitter splitter_{kNoLimit};
   json about_ = json::object();  // what each chunk repeats
   std::size_t letters_ = 0;
   bool told_ = false;
@@ -76,7 +76,7 @@
   std::string events(std::string_view bytes) override {
     std::string out;
     splitter_.feed(bytes, [&](std::string_view event) {
-      const json value = json::parse(event_data(event), nullptr, false);
+      const json value = json::parse(sse::event_data(event), nullptr, false);
       if (value.is_object()) out += stream_.chunk(value);
     });
     return out;
@@ -95,7 +95,7 @@
  private:
   ResponseEcho echo_;
   ResponseStream stream_;
-  EventSplitter splitter_{kNoLimit};
+  sse::EventSplitter splitter_{kNoLimit};
 };
 
 }  // namespace
--- a/src/recovery/recovery.cpp
+++ b/src/recovery/recovery.cpp
@@ -36,7 +36,7 @@
   if (event.find("error") == std::string_view::npos) return false;
   if (event.starts_with("event: error") || event.find("\nevent: error") != std::string_view::npos)
     return true;
-  return member(json::parse(net::event_data(event), nullptr, false), "error") != nullptr;
+  return member(json::parse(sse::event_data(event), nullptr, false), "error") != nullptr;
 }
 
 std::vector<std::string> stops_of(const json& body) {
@@ -73,9 +73,9 @@
 Written read_events(std::string_view events, Form form) {
   Written written;
   std::int64_t pieces = 0;
-  net::EventSplitter splitter(kNoLimit);
+  sse::EventSplitter splitter(kNoLimit);
   splitter.feed(events, [&](std::string_view event) {
-    const json value = json::parse(net::event_data(event), nullptr, false);
+    const json value = json::parse(sse::event_data(event), nullptr, false);
     if (!value.is_object()) return;
     for (const char* name : kRepeated) {
       if (value.contains(name)) written.about[name] = value[name];
@@ -118,7 +118,7 @@
   if (way_ == Way::none) return std::string(events);
   if (!seam_ && events.find("error") == std::string_view::npos) return keep(std::string(events));
   std::string out;
-  net::EventSplitter splitter(kNoLimit);
+  sse::EventSplitter splitter(kNoLimit);
   splitter.feed(events, [&](std::string_view event) {
     if (tells_error(event)) {
       error_ = event;
@@ -148,7 +148,7 @@
 }
 
 std::string Recovery::joined(std::string_view event) {
-  const std::string data = net::event_data(event);
+  const std::string data = sse::event_data(event);
   if (failed() || over_) return "";
   if (data == "[DONE]") {
     const std::string last = seam_->finish();
@@ -157,7 +157,7 @@
     return (last.empty() ? "" : event_of(chunk(last, nullptr))) + "data: [DONE]\n\n";
   }
   json value = json::parse(data, nullptr, false);
-  if (!value.is_object()) return net::only_comments(event) ? std::string(event) : "";
+  if (!value.is_object()) return sse::only_comments(event) ? std::string(event) : "";
   for (const char* name : kRepeated) {
     if (written_.about.contains(name)) {
       value[name] = written_.about[name];
--- a/src/recovery/recovery.hpp
+++ b/src/recovery/recovery.hpp
@@ -9,7 +9,7 @@
 #include <string>
 #include <string_view>
 
-#include "net/sse/event_splitter.hpp"
+#include "sse/event_splitter.hpp"
 #include "recovery/seam.hpp"
 
 namespace bankmux::recovery {
--- a/src/net/sse/event_splitter.cpp
+++ b/src/sse/event_splitter.cpp
@@ -1,8 +1,8 @@
-#include "net/sse/event_splitter.hpp"
+#include "sse/event_splitter.hpp"
 
 #include <algorithm>
 
-namespace bankmux::net {
+namespace bankmux::sse {
 
 std::size_t EventSplitter::scan(std::string_view bytes) {
   std::size_t at = 0;
@@ -67,4 +67,4 @@
   return data;
 }
 
-}  // namespace bankmux::net
+}  // namespace bankmux::sse
--- a/src/net/sse/event_splitter.hpp
+++ b/src/sse/event_splitter.hpp
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <utility>
 
-namespace bankmux::net {
+namespace bankmux::sse {
 
 // Where a line ends: its first LF or CR; npos where none has come.
 [[nodiscard]] inline std::size_t line_end(std::string_view text) {
@@ -69,4 +69,4 @@
 // The data of one event: its lines joined by LF.
 [[nodiscard]] std::string event_data(std::string_view event);
 
-}  // namespace bankmux::net
+}  // namespace bankmux::sse
--- a/src/net/sse/stream_scanner.cpp
+++ b/src/sse/stream_scanner.cpp
@@ -1,13 +1,13 @@
-#include "net/sse/stream_scanner.hpp"
+#include "sse/stream_scanner.hpp"
 
 #include <algorithm>
 #include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "net/sse/event_splitter.hpp"
+#include "sse/event_splitter.hpp"
 
-namespace bankmux::net {
+namespace bankmux::sse {
 
 namespace {
 
@@ -25,14 +25,14 @@
   return rest.starts_with('"');
 }
 
-core::Tokens count(const json& object, const char* name) {
+eiderarch::Tokens count(const json& object, const char* name) {
   const auto it = object.find(name);
-  return it != object.end() && it->is_number_integer() ? it->get<core::Tokens>() : 0;
+  return it != object.end() && it->is_number_integer() ? it->get<eiderarch::Tokens>() : 0;
 }
 
 }  // namespace
 
-std::optional<core::Tokens> cached_tokens(std::string_view text) {
+std::optional<eiderarch::Tokens> cached_tokens(std::string_view text) {
   const json value = json::parse(text, nullptr, false);
   if (!value.is_object()) return std::nullopt;
   if (value.contains("cached_tokens")) return count(value, "cached_tokens");
@@ -156,4 +156,4 @@
   return report;
 }
 
-}  // namespace bankmux::net
+}  // namespace bankmux::sse
--- a/src/net/sse/stream_scanner.hpp
+++ b/src/sse/stream_scanner.hpp
@@ -6,14 +6,14 @@
 #include <string>
 #include <string_view>
 
-#include "core/ports.hpp"
+#include "eiderarch/router.hpp"
 
-namespace bankmux::net {
+namespace bankmux::sse {
 
 class StreamScanner {
  public:
   void feed(std::string_view bytes);
-  [[nodiscard]] core::Tokens found() const { return found_; }
+  [[nodiscard]] eiderarch::Tokens found() const { return found_; }
   [[nodiscard]] const eiderarch::LoadReport& report() const { return report_; }
   // An error event came by: the answer is not whole, however its stream ends.
   [[nodiscard]] bool failed() const { return failed_; }
@@ -31,15 +31,15 @@
   bool skip_ = false;
   bool after_cr_ = false;
   bool failed_ = false, finished_ = false, done_ = false;
-  core::Tokens found_ = 0;
+  eiderarch::Tokens found_ = 0;
   eiderarch::LoadReport report_;
 };
 
 // The count of kept tokens in a body like {"cached_tokens":4096} or in a usage object; 0 where there is none,
 // nothing where the text is no JSON object.
-std::optional<core::Tokens> cached_tokens(std::string_view json);
+std::optional<eiderarch::Tokens> cached_tokens(std::string_view json);
 
 // "inflight=7,queue=2,util=0.61"; what is not understood is passed over.
 eiderarch::LoadReport parse_report(std::string_view text);
 
-}  // namespace bankmux::net
+}  // namespace bankmux::sse
--- a/tests/chat_properties_test.cpp
+++ b/tests/chat_properties_test.cpp
@@ -11,8 +11,8 @@
 #include "net/openai/json_reader.hpp"
 #include "net/openai/request_rules.hpp"
 #include "net/openai/translate.hpp"
-#include "net/sse/event_splitter.hpp"
-#include "net/sse/stream_scanner.hpp"
+#include "sse/event_splitter.hpp"
+#include "sse/stream_scanner.hpp"
 
 using namespace bankmux;
 using nlohmann::json;
@@ -64,8 +64,8 @@
       events.push_back("data: " + line + end + end);
       stream += events.back();
     }
-    net::EventSplitter splitter(1 << 20);
-    net::StreamScanner scanner, whole_scanner;
+    sse::EventSplitter splitter(1 << 20);
+    sse::StreamScanner scanner, whole_scanner;
     std::string passed;
     std::size_t received = 0;
     // Where the last event ends that is whole within so many bytes.
@@ -96,7 +96,7 @@
 }
 
 TEST_CASE("Events: one that is longer than may be is told, at once and for good") {
-  net::EventSplitter splitter(10);
+  sse::EventSplitter splitter(10);
   int events = 0;
   const auto count = [&](std::string_view) { ++events; };
   CHECK(splitter.feed("data: 1\n\n", count));
@@ -196,8 +196,8 @@
     json last;
     std::int64_t number = 0;
     std::string deltas;
-    net::EventSplitter(1 << 20).feed(out, [&](std::string_view event) {
-      last = json::parse(net::event_data(event));
+    sse::EventSplitter(1 << 20).feed(out, [&](std::string_view event) {
+      last = json::parse(sse::event_data(event));
       RC_ASSERT(last["sequence_number"] == number++);
       RC_ASSERT(event.starts_with("event: " + last["type"].get<std::string>() + "\n"));
       if (last["type"] == "response.output_text.delta") deltas += last["delta"].get<std::string>();
--- a/tests/wire_parts_test.cpp
+++ b/tests/wire_parts_test.cpp
@@ -8,7 +8,7 @@
 #include "net/openai/json_reader.hpp"
 #include "net/openai/request_rules.hpp"
 #include "net/platform/backoff.hpp"
-#include "net/sse/stream_scanner.hpp"
+#include "sse/stream_scanner.hpp"
 
 using namespace bankmux;
 using net::ResponseParser;
@@ -103,7 +103,7 @@
 }
 
 TEST_CASE("A stream is looked at across its pieces") {
-  net::StreamScanner scanner;
+  sse::StreamScanner scanner;
   const std::string text =
       "data: {\"choices\":[{\"delta\":{\"content\":\"say \\\"error\\\"\"}}]}\n\n"
       "data: {\"usage\":{\"prompt_tokens_details\":{\"cached_tokens\":4096}}}\n\n"
