Call a silent discovery agent again within half a second, however large the fleet

Logs: conductors' calls of 3.0 s and 9.2 s ended in silence, and the next came 3.1 to 10 s later; the agent was back at about 10.6 s and its news counts as told from then. At fault: DiscoveryWatch::failed with backoff_for(300), whose first ceiling is 6 s, and a call that may stay silent for 3 s. Ruled out: restarted conductors (their lists come in milliseconds), the known list, the module (it had not been told). One that has refused a call, or must be asked for lists, is shared: the drawn, growing waits stay. Story: a site of 300 conductors hears of a drain within the grace.

--- a/src/net/platform/backoff.cpp
+++ b/src/net/platform/backoff.cpp
@@ -16,8 +16,13 @@
 // Within the 40 s after a failed call from which a conductor without a watch counts as told what was listed.
 constexpr core::Duration kLongest = 30s;
 
+// With the time that a call may stay silent well under half a second: the shortest drain's grace is 1 s.
+constexpr Backoff kAtHand{100ms, 200ms};
+
 }  // namespace
 
+Backoff backoff_at_hand() { return kAtHand; }
+
 Backoff backoff_for(unsigned conductors) {
   const auto scaled = [conductors](core::Duration each, core::Duration least) {
     return std::clamp(each * static_cast<core::Duration::rep>(conductors), least, kLongest);
--- a/src/net/platform/backoff.hpp
+++ b/src/net/platform/backoff.hpp
@@ -21,4 +21,8 @@
 // the ceilings grow with the fleet, so that what all call together while refused does not.
 [[nodiscard]] Backoff backoff_for(unsigned conductors);
 
+// Where discovery is an agent on the conductor's own machine, which answers at once and at no cost: what it
+// has counts as told from the moment it is back, so the next call is never far off.
+[[nodiscard]] Backoff backoff_at_hand();
+
 }  // namespace bankmux::net
--- a/src/net/platform/discovery_watch.cpp
+++ b/src/net/platform/discovery_watch.cpp
@@ -15,6 +15,9 @@
 namespace {
 
 constexpr int kSilentSeconds = 3;  // an empty line comes every 2 s
+// An agent answers at once. While discovery is down it says nothing, and a call from that time may never be
+// answered.
+constexpr core::Duration kFirstAnswer = 400ms;
 constexpr core::Duration kAfterNonsense = 1s;
 constexpr std::size_t kMostLine = 4 * 1024 * 1024;
 
@@ -26,10 +29,11 @@
       address_(config.discovery),
       news_(std::move(news)),
       version_(config.known_version),
-      // Discovery serves all conductors with a fixed capacity, and a fleet that was started or refused
+      // Where one discovery serves all conductors with a fixed capacity, a fleet that was started or refused
       // together would call again together: after each call in a row that brings no line the ceiling
       // doubles, and each conductor draws its own wait under it.
-      backoff_(backoff_for(config.module.fronts)),
+      shared_(config.module.list_mode == eiderarch::ListMode::on_request),
+      backoff_shared_(backoff_for(config.module.fronts)),
       draw_(config.module.seed) {}
 
 DiscoveryWatch::~DiscoveryWatch() = default;
@@ -44,29 +48,38 @@
   if (!connection_) return failed();
   evhttp_connection_set_timeout(connection_.get(), kSilentSeconds);
   evhttp_request* request = evhttp_request_new(
-      [](evhttp_request*, void* self) {
-        guarded("discovery", [self] { static_cast<DiscoveryWatch*>(self)->ended(); });
+      [](evhttp_request* answer, void* self) {
+        guarded("discovery", [=] { static_cast<DiscoveryWatch*>(self)->ended(answer); });
       },
       this);
   evhttp_request_set_chunked_cb(request, [](evhttp_request* answer, void* self) {
     guarded("discovery", [&] { static_cast<DiscoveryWatch*>(self)->read(answer); });
   });
+  // Its head says that someone is there; where nothing has changed the first line comes up to 2 s later.
+  evhttp_request_set_header_cb(request, [](evhttp_request* answer, void* self) {
+    if (evhttp_request_get_response_code(answer) == 200) static_cast<DiscoveryWatch*>(self)->silent_.reset();
+    return 0;
+  });
   evhttp_add_header(evhttp_request_get_output_headers(request), "Host", address_.c_str());
   std::string path = "/api/targets?follow=1";
   if (!whole_) path += "&since=" + std::to_string(version_);
-  if (evhttp_make_request(connection_.get(), request, EVHTTP_REQ_GET, path.c_str()) != 0) failed();
+  if (evhttp_make_request(connection_.get(), request, EVHTTP_REQ_GET, path.c_str()) != 0) return failed();
+  if (!shared_) silent_ = loop_.at(loop_.now() + kFirstAnswer, [this] { failed(); });
 }
 
 // A watch that brought lines had worked; one that brought none, refused or broken, counts as a failure.
-void DiscoveryWatch::ended() {
+void DiscoveryWatch::ended(evhttp_request* answer) {
+  if (answer != nullptr && evhttp_request_get_response_code(answer) >= 400) shared_ = true;
   if (heard_) failures_ = 0;
   failed();
 }
 
 void DiscoveryWatch::failed() {
+  silent_.reset();
   ++failures_;
+  const Backoff backoff = shared_ ? backoff_shared_ : backoff_at_hand();
   const core::Duration wait =
-      backoff_.wait(failures_, std::uniform_real_distribution<double>(0.0, 1.0)(draw_));
+      backoff.wait(failures_, std::uniform_real_distribution<double>(0.0, 1.0)(draw_));
   // A line each time the count doubles: an operator sees a discovery that refuses, and the log no storm.
   if ((failures_ & (failures_ - 1)) == 0) {
     log::write("discovery", "no watch after " + std::to_string(failures_) + " calls in a row; the next in " +
@@ -90,6 +103,7 @@
 
 void DiscoveryWatch::again(core::Duration wait) {
   // Opened from the loop: the old connection may be what is calling.
+  silent_.reset();
   retry_ = loop_.at(loop_.now() + wait, [this] { open(); });
 }
 
--- a/src/net/platform/discovery_watch.hpp
+++ b/src/net/platform/discovery_watch.hpp
@@ -29,7 +29,7 @@
   void read(evhttp_request* request);
   void line(const std::string& text);
   void again(core::Duration wait);
-  void ended();
+  void ended(evhttp_request* answer);
   void failed();
 
   Loop& loop_;
@@ -40,11 +40,14 @@
   bool whole_ = false;  // ask for the whole list
   bool heard_ = false;  // the watch now open has brought a line, if only an empty one
   int failures_ = 0;    // calls in a row that brought none
-  Backoff backoff_;
+  // It has refused a call, or must be asked for each list: one service of bounded capacity for many conductors.
+  // Until then it is taken for an agent on this machine.
+  bool shared_;
+  Backoff backoff_shared_;
   std::mt19937_64 draw_;
   std::unique_ptr<evhttp_connection, Freed<evhttp_connection_free>> connection_;
   std::string pending_;
-  std::unique_ptr<core::Timer> retry_;
+  std::unique_ptr<core::Timer> retry_, silent_;
 };
 
 }  // namespace bankmux::net
--- a/tests/stories/platform_stories.cpp
+++ b/tests/stories/platform_stories.cpp
@@ -47,7 +47,9 @@
     }
     return true;
   }));
-  Platform platform({{"r", "lectura", reader.address()}, {"w", "escritura", writer.address()}});
+  nlohmann::json site = site_settings();
+  site["categories"][0]["targetS"] = 0.1;  // the read takes most of it, so that a place is worth its price
+  Platform platform({{"r", "lectura", reader.address()}, {"w", "escritura", writer.address()}}, site);
   const std::string body = "{\"model\":\"chat\", \"odd\":  [1,\t2]}";
   const std::string answer =
       platform.ask(client_request("t1", "consulta", 5000, 3000, "X-Own: a b  c\r\n", body));
@@ -318,6 +320,36 @@
   CHECK(platform.ask(client_request("c1", "consulta", 5000, 100)).starts_with("HTTP/1.1 200"));
 }
 
+// What an agent has counts as told from the moment it is back. A wait that grew with the fleet left a
+// conductor blind for 10 s after that, and it sent to a box 1.3 s past its drain's grace.
+TEST_CASE("A silent discovery is called again soon, however large the fleet, and its news counts at once") {
+  Record first, second;
+  const auto serves = [](Wire& wire, const Message&) {
+    wire.send(events({"{\"x\":1}", "[DONE]"}));
+    return true;
+  };
+  Peer a(instance(first, serves)), b(instance(second, serves));
+  nlohmann::json site = site_settings();
+  site["nInstances"] = 300;
+  const Platform::Instance w1{"w1", "mixto", a.address()}, w2{"w2", "mixto", b.address()};
+  Platform platform({w1, w2}, site);
+  REQUIRE(platform.watches.wait_for("GET /api/targets?follow=1&since=1 HTTP/1.1", 1, 4000));
+  platform.watches.clear();
+  platform.silence(true);
+  platform.break_watch();
+  std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+  CHECK(platform.watches.all().size() >= 2);
+  platform.push(Platform::line(2, false, {w1}, "DRAINING"));
+  platform.silence(false);
+  std::this_thread::sleep_for(std::chrono::milliseconds(900));  // less than the drain's grace
+  for (int i = 0; i < 6; ++i) {
+    CHECK(platform.ask(client_request("q" + std::to_string(i), "consulta", 5000, 100))
+              .starts_with("HTTP/1.1 200"));
+  }
+  CHECK(first.all().empty());
+  CHECK(second.count(kChat) == 6);
+}
+
 TEST_CASE("A discovery that turns every call away is called ever less often, and the watch comes back") {
   Record seen;
   Peer one([&seen](Wire& wire) {
--- a/tests/stories/platform_world.cpp
+++ b/tests/stories/platform_world.cpp
@@ -55,6 +55,11 @@
       wire.send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
       return;
     }
+    if (silent_) {
+      lock.unlock();
+      (void)wire.closed_within(10000);  // until its caller gives up
+      return;
+    }
     const int breaks = breaks_;
     wire.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     for (std::size_t next = first_;;) {
@@ -109,6 +114,11 @@
   refuse_ = refuse;
 }
 
+void Platform::silence(bool silent) {
+  const std::lock_guard lock(mutex_);
+  silent_ = silent;
+}
+
 void Platform::reload(const std::string& content) const {
   std::ofstream(file_) << content;
   program_->send_signal(SIGHUP);
--- a/tests/stories/platform_world.hpp
+++ b/tests/stories/platform_world.hpp
@@ -28,6 +28,8 @@
   void break_watch();
   // From now on discovery answers every call with 503, as one that is overbooked does; or no longer.
   void refuse_watches(bool refuse);
+  // From now on discovery takes calls and says nothing, as an agent that is down; or answers new ones again.
+  void silence(bool silent);
   // Replaces the configuration and sends SIGHUP.
   void reload(const std::string& content) const;
   [[nodiscard]] const nlohmann::json& config() const { return config_; }
@@ -51,7 +53,7 @@
   std::condition_variable changed_;
   std::vector<std::string> lines_;
   int breaks_ = 0;
-  bool refuse_ = false;
+  bool refuse_ = false, silent_ = false;
   std::size_t first_ = 0;  // line that a new watch begins with
   std::unique_ptr<Peer> discovery_;
   std::unique_ptr<Program> program_;
