--- a/src/router/arrival.cpp
+++ b/src/router/arrival.cpp
@@ -90,7 +90,7 @@
   r.writer = writer->entry.engine;
   if (!send(r, *reader, true)) return false;
   plan(r, true);
-  if (s_.claim_ahead) {
+  if (s_.claim_ahead && cost > kClaimFrom * seconds(r.aim - now_)) {
     actions_.emplace_back(ClaimWriter{r.ask.id, r.writer});
     r.claimed = true;
   }
--- a/src/router/writer.cpp
+++ b/src/router/writer.cpp
@@ -41,7 +41,8 @@
     if (s_.fronts <= 1 && !affordable(*e, r)) continue;
     const double match = double(kept(*e, r)) / double(std::max<Tokens>(1, r.ask.prompt_tokens));
     double score = kMatchWeight * match - kLoadWeight * e->held / mean - kDoubtWeight * failing;
-    score -= kSlowWeight * known_.pace(*e) / median + (e->entry.zone == s_.zone ? 0.0 : kZoneWeight);
+    score -= kSlowWeight * known_.pace(*e) / median;
+    if (e->entry.zone != s_.zone) score -= kZonePrice * s_.prices.cross_zone;
     if (now_ - e->told_at < kTrustTold) score -= known_.pace(*e) * known_.queue_told(*e) / seconds(r.cls.aim);
     if (holder == nullptr && near_ == e->entry.cell) score += kNearWeight;
     if (holder != nullptr) score -= move_cost(*holder, *e, r.ask.prompt_tokens);
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -621,11 +621,27 @@
   EXPECT_EQ(f.logged<SetTimer>(), timers);
 }
 
-TEST(Ahead, PlaceIsClaimedWithTheReadAndUsed) {
+// Of a read that takes most of the time left to the aim; a shorter one saves less than the call costs.
+Settings hurried_settings() {
+  Settings s = plain_settings();
+  s.claim_ahead = true;
+  for (RequestClass& c : s.classes) c.aim = 100ms;
+  return s;
+}
+
+TEST(Ahead, NoPlaceIsClaimedWhereTheReadIsShortBesideTheAim) {
   Settings s = plain_settings();
   s.claim_ahead = true;
   Front f(s);
   f.arrive(1);
+  ASSERT_TRUE(f.sent().has_value());
+  EXPECT_EQ(f.count<ClaimWriter>(), 0);
+}
+
+TEST(Ahead, PlaceIsClaimedWithTheReadAndUsed) {
+  const Settings s = hurried_settings();
+  Front f(s);
+  f.arrive(1);
   const auto reader = f.sent();
   ASSERT_EQ(f.count<ClaimWriter>(), 1);
   EngineId writer = 0;
@@ -638,8 +654,7 @@
 }
 
 TEST(Ahead, PlaceIsLetGoWhenTheRequestEnds) {
-  Settings s = plain_settings();
-  s.claim_ahead = true;
+  const Settings s = hurried_settings();
   Front f(s);
   f.arrive(1);
   const auto reader = f.sent();
