--- a/src/app/request_log.cpp
+++ b/src/app/request_log.cpp
@@ -25,6 +25,8 @@
       return "rejected by its box";
     case Result::gone:
       return "client gone";
+    case Result::passed_on:
+      return "passed on to the next process";
   }
   return "";
 }
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -11,6 +11,7 @@
 #include "app/cpu_watch.hpp"
 #include "app/operations.hpp"
 #include "app/request_log.hpp"
+#include "app/succession.hpp"
 #include "app/wind_down.hpp"
 #include "core/conductor.hpp"
 #include "log/log.hpp"
@@ -144,6 +145,11 @@
   net::HttpServer server(
       loop, place, [&](std::unique_ptr<net::Incoming> incoming) { front.handle(std::move(incoming)); },
       bounds.clients);
+  std::optional<Succession> succession;
+  if (config.passed_socket) {
+    succession.emplace(loop, *conductor, instances, front, server,
+                       temporary_folder() + "/bankmux-" + config.name + "-streams");
+  }
   if (operations) operations->takes_clients(server);
   const auto reload = [&] {
     guarded_reload([&] {
@@ -156,6 +162,7 @@
     if (operations) operations->ending();
     // What waits at a passed socket is its next holder's to take, and towards the front that one is ready.
     config.passed_socket ? server.stop_listening() : front.set_ready(false);
+    if (succession) succession->ending();
   };
   WindDown wind_down(loop, *conductor, {&server}, kPlatformAccepting, begun, reload);
   core::Duration longest{0};
--- a/src/app/wind_down.cpp
+++ b/src/app/wind_down.cpp
@@ -45,7 +45,9 @@
   const core::Figures& f = conductor_.figures();
   log::write("stop", "taken " + std::to_string(f.taken) + ", served " + std::to_string(f.served) +
                          ", refused " + std::to_string(f.refused) + ", failed " + std::to_string(f.failed) +
-                         ", broken " + std::to_string(f.broken) + ", client gone " + std::to_string(f.gone));
+                         ", broken " + std::to_string(f.broken) + ", client gone " + std::to_string(f.gone) +
+                         ", passed on " + std::to_string(f.passed_on) + ", taken over " +
+                         std::to_string(f.taken_over));
 }
 
 void WindDown::begin() {
--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -184,24 +184,12 @@
       } else if (const auto* ahead = std::get_if<eiderarch::ClaimWriter>(&step)) {
         claim_at = ahead->engine;
         if (written) claim(r, *claim_at);
-      } else if (auto* data = std::get_if<Data>(&step)) {
+      } else if (std::holds_alternative<Data>(step)) {
         if (!r.streaming) begin_stream(r, *order, sent);
-        note_event(r);
-        r.reply->data(data->bytes);
-        if (r.reply->garbled()) {
-          end = {Outcome::cancelled, 0, {}, false};
+        if (const auto ended = stream_step(r, step)) {
+          end = *ended;
           out = false;
-          continue;
-        }
-        // Guards memory: a fast instance must not fill it for a client that reads slowly.
-        if (r.reply->behind([&r] { r.inbox.push(CaughtUp{}); })) {
-          r.attempt->pause(true);
-          r.stall.reset();  // it is the client that waits now, not the instance
-          r.last_event.reset();
         }
-      } else if (std::holds_alternative<CaughtUp>(step)) {
-        r.attempt->pause(false);
-        expect_more(r, settings_.stall_limit);
       } else if (const auto* result = std::get_if<AttemptResult>(&step)) {
         end = judge(*result);
         out = false;
@@ -209,34 +197,22 @@
         end = {Outcome::cancelled, 0, {}, true};
         post(eiderarch::RequestGone{r.told_as});
         out = false;
+      } else if (r.streaming || std::holds_alternative<Stalled>(step)) {
+        // Its client's now: neither the module's word nor a deadline counts any more.
+        if (const auto ended = stream_step(r, step)) {
+          end = *ended;
+          out = false;
+        }
       } else if (std::holds_alternative<Abandoned>(step)) {
-        if (r.streaming) continue;
         const bool unsent = r.attempt->progress() <= Progress::unwritten;
         end = {unsent ? Outcome::not_connected : Outcome::cancelled, 0, {}, false};
         abandoned = true;
         out = false;
-      } else if (std::holds_alternative<InstanceLost>(step)) {
-        // A vanished machine resets nothing: its stream would stay open for ever.
-        if (r.streaming) expect_more(r, kLostStall);
-      } else if (std::holds_alternative<Stalled>(step)) {
-        if (suspects(r)) {
-          const Duration silent = scheduler_.now() - *r.last_event;
-          const Duration more = silence_.judge(r.engine, scheduler_.now(), silent);
-          if (more > 0us) {
-            expect_more(r, more);
-            continue;
-          }
-          ++figures_.suspected;
-        }
-        end = {Outcome::reset, 0, {}, false};
-        out = false;
       } else if (const auto* cancel = std::get_if<eiderarch::Cancel>(&step)) {
-        // A stream that has begun belongs to the client.
-        if (cancel->attempt != number || r.streaming) continue;
+        if (cancel->attempt != number) continue;
         end = {Outcome::cancelled, 0, {}, false};
         out = false;
       } else if (std::holds_alternative<Deadline>(step) || std::holds_alternative<TimedOut>(step)) {
-        if (r.streaming) continue;
         // What was not written whole never ran, and may be said to be harmless to repeat.
         const bool unsent = r.attempt->progress() <= Progress::unwritten;
         end = {unsent ? Outcome::not_connected : Outcome::timed_out, 0, {}, false};
@@ -263,15 +239,7 @@
       }
     }
     if (r.streaming) {
-      if (end.client_gone) {
-        ++figures_.gone;
-        r.result = RequestRecord::Result::gone;
-      } else if (end.outcome == Outcome::served) {
-        ++figures_.served;
-        r.result = RequestRecord::Result::served;
-        if (r.resumed) ++figures_.saved;
-        r.reply->end();
-      } else {
+      if (!end_stream(r, end)) {
         r.ending.told = end.told;
         const bool may = repeat_safe(r) && r.attempts < settings_.module.limits.max_attempts;
         const Onward onward = may ? r.reply->go_on() : Onward{};
@@ -318,6 +286,131 @@
   tell_end(r);
 }
 
+// A stream that another process of this conductor began, from here to its end.
+Task Conductor::follow(Request& r) {
+  expect_more(r, settings_.stall_limit);
+  std::optional<AttemptEnd> end;
+  while (!end) {
+    Step step = co_await r.inbox.next();
+    if (const auto* result = std::get_if<AttemptResult>(&step)) {
+      end = judge(*result);
+    } else if (std::holds_alternative<ClientGone>(step)) {
+      end = AttemptEnd{Outcome::cancelled, 0, {}, true};
+    } else {
+      end = stream_step(r, step);
+    }
+  }
+  r.stall.reset();
+  r.attempt.reset();
+  r.last = end->outcome;
+  if (!end_stream(r, *end)) {
+    r.ending.told = end->told;
+    break_off(r);
+  }
+  r.reply.reset();
+  tell_end(r);
+  // Nothing was posted that would bring a flush, and from in here it cannot be dropped.
+  scheduler_.soon([this, alive = alive_] {
+    if (*alive) reap();
+  });
+}
+
+std::optional<Conductor::AttemptEnd> Conductor::stream_step(Request& r, Step& step) {
+  if (const auto* data = std::get_if<Data>(&step)) {
+    note_event(r);
+    r.reply->data(data->bytes);
+    if (r.reply->garbled()) return AttemptEnd{Outcome::cancelled, 0, {}, false};
+    // Guards memory: a fast instance must not fill it for a client that reads slowly.
+    if (r.reply->behind([&r] { r.inbox.push(CaughtUp{}); })) {
+      r.attempt->pause(true);
+      r.stall.reset();  // it is the client that waits now, not the instance
+      r.last_event.reset();
+    }
+  } else if (std::holds_alternative<CaughtUp>(step)) {
+    r.attempt->pause(false);
+    expect_more(r, settings_.stall_limit);
+  } else if (std::holds_alternative<InstanceLost>(step)) {
+    // A vanished machine resets nothing: its stream would stay open for ever.
+    expect_more(r, kLostStall);
+  } else if (std::holds_alternative<Stalled>(step)) {
+    if (suspects(r)) {
+      const Duration silent = scheduler_.now() - *r.last_event;
+      const Duration more = silence_.judge(r.engine, scheduler_.now(), silent);
+      if (more > 0us) {
+        expect_more(r, more);
+        return std::nullopt;
+      }
+      ++figures_.suspected;
+    }
+    return AttemptEnd{Outcome::reset, 0, {}, false};
+  } else if (std::holds_alternative<PassedOn>(step)) {
+    return AttemptEnd{Outcome::cancelled, 0, {}, false, false, {}, true};
+  }
+  return std::nullopt;
+}
+
+bool Conductor::end_stream(Request& r, const AttemptEnd& end) {
+  if (end.passed_on) {
+    ++figures_.passed_on;
+    r.result = RequestRecord::Result::passed_on;
+  } else if (end.client_gone) {
+    ++figures_.gone;
+    r.result = RequestRecord::Result::gone;
+  } else if (end.outcome == Outcome::served) {
+    ++figures_.served;
+    r.result = RequestRecord::Result::served;
+    if (r.resumed) ++figures_.saved;
+    r.reply->end();
+  } else {
+    return false;
+  }
+  return true;
+}
+
+std::size_t Conductor::pass_streams(const std::function<bool(const RunningStream&)>& take) {
+  std::size_t count = 0;
+  for (auto& [id, owned] : requests_) {
+    Request& r = *owned;
+    if (!r.streaming || r.resumed || r.life.done() || !r.attempt) continue;
+    std::optional<Passed> client = r.reply->passed();
+    std::optional<Passed> instance = client ? r.attempt->passed() : std::nullopt;
+    const Fleet::Member* member = fleet_.find(r.engine);
+    if (!instance || member == nullptr) continue;
+    const Time now = scheduler_.now();
+    if (!take({r.ask, member->target.id, r.attempts, now - r.arrived, *r.first - r.arrived,
+               std::move(*client), std::move(*instance)})) {
+      continue;  // that one not, or not now
+    }
+    r.reply->let_go();
+    r.inbox.push(PassedOn{});
+    ++count;
+  }
+  return count;
+}
+
+RequestId Conductor::take_over(const RunningStream& stream, std::unique_ptr<ClientReply> reply,
+                               const MakeAttempt& make) {
+  ++figures_.taken_over;
+  auto owned = std::make_unique<Request>();
+  Request& r = *owned;
+  r.ask = stream.ask;
+  r.reply = std::move(reply);
+  r.id = r.told_as = r.ask.facts.id = ++last_id_;
+  r.arrived = scheduler_.now() - stream.age;
+  r.first = r.arrived + stream.first;
+  r.streaming = r.may_have_run = true;
+  r.attempts = stream.attempts;
+  for (const auto& [engine, member] : fleet_.members()) {
+    if (member.target.id == stream.box) r.engine = engine;
+  }
+  r.attempt = make(r);
+  const RequestId id = r.id;
+  requests_.emplace(id, std::move(owned));
+  if (!r.attempt) r.inbox.push(AttemptResult{});
+  r.life = follow(r);
+  return id;
+}
+
 void Conductor::break_off(Request& r) {
   ++figures_.broken;
   r.reply->abort(ends(r, RequestRecord::Result::broken, Ending::Cause::broke_off));
@@ -405,6 +498,7 @@
         ++figures.failed;
         break;
       case RequestRecord::Result::gone:
+      case RequestRecord::Result::passed_on:
         break;
     }
   }
--- a/src/core/conductor.hpp
+++ b/src/core/conductor.hpp
@@ -35,7 +35,8 @@
 
 // One request's life in short, told once it has ended.
 struct RequestRecord {
-  enum class Result { served, refused, failed, broken, rejected, gone };
+  // passed_on: another process of this conductor goes on with its stream, and tells its end.
+  enum class Result { served, refused, failed, broken, rejected, gone, passed_on };
   const Ask& ask;
   Result result = Result::failed;
   Ending ending;    // where it was not served, rejected or left by its client
@@ -45,6 +46,16 @@
   Duration total{0};
 };
 
+// A stream that runs, as one process of this conductor tells it to the one that follows.
+struct RunningStream {
+  Ask ask;  // its facts, and of its payload no more than its name
+  std::string box;
+  int attempts = 1;
+  Duration age{0};    // since it was taken
+  Duration first{0};  // from then to its first event
+  Passed client, instance;
+};
+
 // Final answers of one class. What its client left counts nowhere.
 struct ClassFigures {
   std::uint64_t served = 0, refused = 0, failed = 0;
@@ -57,7 +68,8 @@
   // Streams whose instance was lost: asked to go on elsewhere (each time), ended well after that, and ended
   // well without, for nothing but their end was missing.
   std::uint64_t continued = 0, saved = 0, finished = 0;
-  std::uint64_t suspected = 0;  // of those, given up for silence
+  std::uint64_t suspected = 0;                  // of those, given up for silence
+  std::uint64_t passed_on = 0, taken_over = 0;  // streams, to the next process and from the one before
 };
 
 class Conductor {
@@ -90,6 +102,15 @@
   // process is killed.
   void abandon();
 
+  // Offers each stream that runs; one that is taken (true) is over here. Returns how many were.
+  std::size_t pass_streams(const std::function<bool(const RunningStream&)>& take);
+  // Goes on with a stream that another process of this conductor began. `make` opens its attempt, once; where
+  // that gives none, the stream breaks off. The module is not asked: it chose nothing here, and a stream that
+  // has begun belongs to its client.
+  using MakeAttempt = std::function<std::unique_ptr<Attempt>(AttemptEvents&)>;
+  RequestId take_over(const RunningStream& stream, std::unique_ptr<ClientReply> reply,
+                      const MakeAttempt& make);
+
   [[nodiscard]] std::size_t open_requests() const { return requests_.size(); }
   [[nodiscard]] std::size_t most_requests() const { return settings_.max_requests; }
   [[nodiscard]] bool releasing() const { return !releases_.empty(); }
@@ -112,9 +133,10 @@
   struct CaughtUp {};  // the client has taken what it was given
   struct InstanceLost {};
   struct Abandoned {};  // this process is about to be ended
+  struct PassedOn {};   // another process goes on with its stream
   using Step = std::variant<eiderarch::Send, eiderarch::Cancel, eiderarch::Refuse, eiderarch::Fail,
                             eiderarch::ClaimWriter, Written, Data, AttemptResult, ClientGone, Deadline,
-                            Overdue, TimedOut, Stalled, CaughtUp, InstanceLost, Abandoned>;
+                            Overdue, TimedOut, Stalled, CaughtUp, InstanceLost, Abandoned, PassedOn>;
 
   struct Request : AttemptEvents {
     RequestId id = 0;
@@ -164,6 +186,7 @@
   };
 
   Task serve(Request& r);
+  Task follow(Request& r);
   struct AttemptEnd {
     eiderarch::Outcome outcome = eiderarch::Outcome::error;
     Tokens detail = 0;
@@ -171,6 +194,7 @@
     bool client_gone = false;
     bool told = false;
     AnswerPtr answer = {};
+    bool passed_on = false;
   };
   [[nodiscard]] static AttemptEnd judge(const AttemptResult& result);
   void log_failure(const Request& r, const eiderarch::Send& order, const AttemptEnd& end,
@@ -183,6 +207,10 @@
   // Its answer goes on elsewhere: from here on the module knows it by another name.
   void resume(Request& r, const Onward& onward);
   void break_off(Request& r);
+  // What a stream does with one word of its attempt, its client or its clock; its end, once it has one.
+  std::optional<AttemptEnd> stream_step(Request& r, Step& step);
+  // Its end for its client and the figures; false where its instance was lost, which is not the end yet.
+  bool end_stream(Request& r, const AttemptEnd& end);
   void answer_abandoned(Request& r);
   [[nodiscard]] RequestId resolve(RequestId told_as) const;
   void begin_stream(Request& r, const eiderarch::Send& order, Time sent);
--- a/src/core/ports.hpp
+++ b/src/core/ports.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -75,6 +76,13 @@
   Duration patience{0};
 };
 
+// A connection that another process of this conductor is to go on with: its descriptor, which stays its
+// holder's, and what has to be known beside it; opaque here.
+struct Passed {
+  int descriptor = -1;
+  std::string state;
+};
+
 // The client's side of one request. Exactly one of refuse, fail, relay, or begin with its end or abort is the
 // final answer; destroyed without one, it fails the request.
 class ClientReply {
@@ -99,6 +107,10 @@
   virtual Onward go_on() { return {}; }
   // Whether that may come to anything, so that an instance may be given up on a suspicion.
   [[nodiscard]] virtual bool may_go_on() const { return false; }
+  // Its client's connection, in the middle of a stream; nothing where it can't be passed on as it is now.
+  [[nodiscard]] virtual std::optional<Passed> passed() const { return std::nullopt; }
+  // It has been passed on: that is this reply's end here, and not a byte more may be written.
+  virtual void let_go() {}
   // What another instance has written can't be joined to the answer: nothing of it was given.
   [[nodiscard]] virtual bool garbled() const { return false; }
 };
@@ -142,6 +154,8 @@
   [[nodiscard]] virtual Progress progress() const = 0;
   // Stops reading, and goes on: the instance's own sending then waits.
   virtual void pause(bool /*on*/) {}
+  // Its connection, in the middle of a stream; nothing where it can't be passed on as it is now.
+  [[nodiscard]] virtual std::optional<Passed> passed() const { return std::nullopt; }
 };
 
 enum class ClaimAnswer { held, not_held, unknown };
--- a/src/net/http/http_connection.cpp
+++ b/src/net/http/http_connection.cpp
@@ -6,8 +6,10 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdio>
+#include <nlohmann/json.hpp>
 #include <stdexcept>
 
 namespace bankmux::net {
@@ -17,6 +19,7 @@
 namespace {
 
 constexpr std::size_t kMostAhead = 64 * 1024;    // read ahead of the request in hand
+constexpr std::size_t kMostPassed = 64 * 1024;   // unsent, of a stream that another process is to go on with
 constexpr std::size_t kMuchUnread = 256 * 1024;  // of a stream, from which on its source is to wait
 // Of a stream whose source does not wait: one event that is as long as may be, and what else came with it.
 constexpr std::size_t kMostUnread = 4 * 1024 * 1024;
@@ -145,6 +148,13 @@
   return unread == 0 && evbuffer_get_length(bufferevent_get_input(stream_.get())) == 0;
 }
 
+void HttpConnection::go_on(bool chunked, bool last, std::string_view unsent) {
+  enter(Phase::answering);
+  chunked_ = chunked;
+  last_ = last;
+  if (!unsent.empty()) write(unsent);
+}
+
 void HttpConnection::time_out() {
   if (phase_ == Phase::reading) return refuse(408);
   server_.close(*this);
@@ -345,6 +355,54 @@
   connection.answered();
 }
 
+std::optional<core::Passed> Incoming::passed() const {
+  if (state_ != State::streaming) return std::nullopt;
+  bufferevent* stream = connection_->stream_.get();
+  evbuffer* output = bufferevent_get_output(stream);
+  const std::size_t size = evbuffer_get_length(output);
+  if (size > kMostPassed || !connection_->quiet()) return std::nullopt;
+  // Looked at, not copied out: a connection's output lets nobody but itself take from its front.
+  std::vector<evbuffer_iovec> parts(std::size_t(std::max(0, evbuffer_peek(output, -1, nullptr, nullptr, 0))));
+  evbuffer_peek(output, -1, nullptr, parts.data(), int(parts.size()));
+  std::vector<std::uint8_t> unsent;
+  for (const evbuffer_iovec& part : parts) {
+    const auto* begin = static_cast<const std::uint8_t*>(part.iov_base);
+    unsent.insert(unsent.end(), begin, begin + part.iov_len);
+  }
+  const nlohmann::json state = {{"chunked", connection_->chunked_},
+                                {"last", connection_->last_},
+                                {"unsent", nlohmann::json::binary(std::move(unsent))}};
+  std::string text;
+  nlohmann::json::to_cbor(state, text);
+  return core::Passed{bufferevent_getfd(stream), std::move(text)};
+}
+
+void Incoming::let_go() {
+  if (state_ != State::streaming) return;
+  HttpConnection& connection = leave();
+  connection.server_.close(connection);
+}
+
+std::unique_ptr<Incoming> HttpServer::take_over(const core::Passed& passed) {
+  const nlohmann::json state = nlohmann::json::from_cbor(passed.state, true, false);
+  const bool whole = state.is_object() && state.contains("chunked") && state["chunked"].is_boolean() &&
+                     state.contains("last") && state["last"].is_boolean() && state.contains("unsent") &&
+                     state["unsent"].is_binary();
+  if (!whole) {
+    evutil_closesocket(passed.descriptor);
+    return nullptr;
+  }
+  auto owned = std::make_unique<HttpConnection>(*this, passed.descriptor);
+  HttpConnection& connection = *owned;
+  connections_.emplace(&connection, std::move(owned));
+  const auto& unsent = state["unsent"].get_binary();
+  connection.go_on(state["chunked"], state["last"],
+                   {reinterpret_cast<const char*>(unsent.data()), unsent.size()});
+  auto incoming = std::make_unique<Incoming>(connection, RequestParser(limits_.most_body), "");
+  incoming->state_ = Incoming::State::streaming;
+  return incoming;
+}
+
 void Incoming::lost() {
   const bool told = state_ != State::over;
   leave();
--- a/src/net/http/http_connection.hpp
+++ b/src/net/http/http_connection.hpp
@@ -26,6 +26,8 @@
   // Bytes that nobody has read yet may be a request, which is still to be answered.
   [[nodiscard]] bool quiet() const;
   void time_out();
+  // In the middle of a stream that another process began, of which the client has not been sent `unsent` yet.
+  void go_on(bool chunked, bool last, std::string_view unsent);
 
  private:
   friend class Incoming;
--- a/src/net/http/http_server.hpp
+++ b/src/net/http/http_server.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -50,8 +51,15 @@
   // More than enough of a stream waits for its client to read it; `room` is called once all of it is out.
   [[nodiscard]] bool behind(std::function<void()> room);
 
+  // In the middle of a stream: the connection, and what HttpServer::take_over needs to go on with it. Nothing
+  // where more waits on it than is worth copying, or a further request has come.
+  [[nodiscard]] std::optional<core::Passed> passed() const;
+  // Another process goes on with the stream: closes this process's hold on the connection, and no more.
+  void let_go();
+
  private:
   friend class HttpConnection;
+  friend class HttpServer;
   enum class State { pending, streaming, over };
   void lost();  // the client's connection is gone
   // Detaches this from its connection.
@@ -103,6 +111,9 @@
   // From now on each answer asks its client to close the connection.
   void wind_down(bool on = true) { winding_down_ = on; }
   void stop_listening();
+  // A client's connection in the middle of a stream that another process began; takes the descriptor. Null
+  // where the state can't be read.
+  [[nodiscard]] std::unique_ptr<Incoming> take_over(const core::Passed& passed);
   [[nodiscard]] bool winding_down() const { return winding_down_; }
   // Closes the connections on which no request is pending, those that have not brought any yet only once they
   // are `silent` old.
--- a/src/net/http/message_parser.cpp
+++ b/src/net/http/message_parser.cpp
@@ -131,6 +131,24 @@
   headers_.emplace_back(name, value);
 }
 
+std::optional<MessageParser::Place> MessageParser::place() const {
+  if (state_ != State::body || part_ < Part::chunk_size || part_ > Part::trailers) return std::nullopt;
+  return Place{int(part_), left_, line_, keep_alive_};
+}
+
+bool MessageParser::go_on(const Place& place) {
+  const auto part = Part(place.part);
+  if (part < Part::chunk_size || part > Part::trailers) return false;
+  if (place.line.size() > kMostLine || place.left > limits_.chunk) return false;
+  if (part == Part::chunk && place.left == 0) return false;
+  part_ = part;
+  left_ = place.left;
+  line_ = place.line;
+  keep_alive_ = place.keep_alive;
+  state_ = State::body;
+  return true;
+}
+
 void MessageParser::start_body(Part unsized) {
   const auto count = [this](std::string_view name) {
     return std::ranges::count_if(headers_, [name](const auto& h) { return same_name(h.first, name); });
--- a/src/net/http/message_parser.hpp
+++ b/src/net/http/message_parser.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -31,6 +32,16 @@
   [[nodiscard]] std::string_view header(std::string_view name) const;
   [[nodiscard]] const Headers& headers() const { return headers_; }
 
+  // Where a message in chunks has come to within its body: what another process needs to read on.
+  struct Place {
+    int part = 0;
+    std::uint64_t left = 0;  // of the chunk in hand
+    std::string line;        // begun and not ended
+    bool keep_alive = false;
+  };
+  // Nothing outside such a body.
+  [[nodiscard]] std::optional<Place> place() const;
+
  protected:
   struct Limits {
     std::size_t head;      // all lines before the body, interim answers included
@@ -47,6 +58,8 @@
   // All headers are in: start_body() or skip_body(), or another start line by again().
   virtual void headers_done() = 0;
 
+  // Reads on from there; false where it is no place within a body in chunks.
+  bool go_on(const Place& place);
   void again() { part_ = Part::start_line; }
   void skip_body() { state_ = State::done; }
   // By the headers; `unsized` says what the lack of a length means.
--- a/src/net/http/response_parser.hpp
+++ b/src/net/http/response_parser.hpp
@@ -10,6 +10,12 @@
   ResponseParser();
   // The connection has ended: whether the response is whole by that.
   bool finish();
+  // A stream (200, in chunks) that another process has read up to this place; false where it can't be.
+  bool go_on_with_stream(const Place& place) {
+    status_ = 200;
+    has_head_ = true;
+    return go_on(place);
+  }
   [[nodiscard]] bool has_head() const { return has_head_; }
   [[nodiscard]] int status() const { return status_; }
 
--- a/src/net/instances/instance_client.cpp
+++ b/src/net/instances/instance_client.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
 
@@ -70,6 +71,38 @@
   return response.header("Content-Type").starts_with("text/event-stream");
 }
 
+std::string write_state(const ResponseParser::Place& place, const sse::StreamScanner::Open& open) {
+  const auto bytes = [](const std::string& text) {
+    return nlohmann::json::binary(std::vector<std::uint8_t>(text.begin(), text.end()));
+  };
+  std::string text;
+  nlohmann::json::to_cbor({{"part", place.part},
+                           {"left", place.left},
+                           {"line", bytes(place.line)},
+                           {"keep", place.keep_alive},
+                           {"event_line", bytes(open.line)},
+                           {"event_data", bytes(open.data)},
+                           {"event_lines", open.data_lines},
+                           {"skip", open.skip},
+                           {"after_cr", open.after_cr},
+                           {"failed", open.failed}},
+                          text);
+  return text;
+}
+
+// Throws where it is not what write_state writes.
+std::pair<ResponseParser::Place, sse::StreamScanner::Open> read_state(const std::string& text) {
+  const nlohmann::json state = nlohmann::json::from_cbor(text);
+  const auto bytes = [&state](const char* name) {
+    const auto& value = state.at(name).get_binary();
+    return std::string(value.begin(), value.end());
+  };
+  ResponseParser::Place place{state.at("part"), state.at("left"), bytes("line"), state.at("keep")};
+  sse::StreamScanner::Open open{bytes("event_line"), bytes("event_data"),  state.at("event_lines"),
+                                state.at("skip"),    state.at("after_cr"), state.at("failed")};
+  return {std::move(place), std::move(open)};
+}
+
 // One attempt. Its end says what the instance said; in the chat dialect the core is given whole events alone,
 // so that an attempt has begun its client's answer only once a whole event is there.
 class HttpAttempt : public core::Attempt, private Exchange::Events {
@@ -86,6 +119,24 @@
         exchange_(pool, target.address, request_head(target, *payload, patience, dialect),
                   {payload, &payload->body}, repeatable, *this) {}
 
+  // In the middle of a stream of the platform's, that another process began.
+  HttpAttempt(Loop& loop, InstancePool& pool, const std::string& address, int descriptor,
+              const ResponseParser::Place& place, sse::StreamScanner::Open open, core::AttemptEvents& events)
+      : loop_(loop),
+        events_(events),
+        dialect_(Dialect::platform),
+        streamed_(true),
+        most_body_(kMostBody),
+        scanner_(std::move(open)),
+        exchange_(pool, address, descriptor, place, *this) {}
+
+  [[nodiscard]] std::optional<core::Passed> passed() const override {
+    const int descriptor = dialect_ == Dialect::platform && streamed_ ? exchange_.passable() : -1;
+    if (descriptor < 0) return std::nullopt;
+    const ResponseParser::Place place = *exchange_.response().place();
+    const sse::StreamScanner::Open open = scanner_.open();
+    return core::Passed{descriptor, write_state(place, open)};
+  }
   [[nodiscard]] Progress progress() const override { return exchange_.progress(); }
   void pause(bool on) override { exchange_.pause(on); }
 
@@ -267,6 +318,19 @@
                                        std::move(may_write), events, dialect_);
 }
 
+std::unique_ptr<core::Attempt> InstanceClient::take_over(const std::string& address,
+                                                         const core::Passed& passed,
+                                                         core::AttemptEvents& events) {
+  try {
+    auto [place, open] = read_state(passed.state);
+    return std::make_unique<HttpAttempt>(loop_, pool_, address, passed.descriptor, place, std::move(open),
+                                         events);
+  } catch (const nlohmann::json::exception&) {
+    evutil_closesocket(passed.descriptor);
+    return nullptr;
+  }
+}
+
 void InstanceClient::claim(const core::Target& target, const core::PayloadPtr& payload,
                            std::function<bool()> may_write, std::function<void(core::ClaimAnswer)> done) {
   call(target, call_text(target, "POST", "/bootstrap/rooms/" + payload->id), std::move(may_write),
--- a/src/net/instances/instance_client.hpp
+++ b/src/net/instances/instance_client.hpp
@@ -23,6 +23,10 @@
   std::unique_ptr<core::Attempt> start(const core::Target& target, const core::PayloadPtr& payload,
                                        core::Duration patience, bool repeatable,
                                        std::function<bool()> may_write, core::AttemptEvents& events) override;
+  // Goes on with an attempt in the middle of its stream, as another process passed it on; takes the
+  // descriptor. Null where the state can't be read.
+  std::unique_ptr<core::Attempt> take_over(const std::string& address, const core::Passed& passed,
+                                           core::AttemptEvents& events);
   void claim(const core::Target& target, const core::PayloadPtr& payload, std::function<bool()> may_write,
              std::function<void(core::ClaimAnswer)> done) override;
   void release(const core::Target& target, const core::PayloadPtr& payload,
--- a/src/net/instances/instance_pool.cpp
+++ b/src/net/instances/instance_pool.cpp
@@ -54,6 +54,38 @@
     limit_ = pool_.loop_.at(pool_.loop_.now() + pool_.limits_.connect, [this] { end(false); });
   }
   if (connection_ == nullptr) return;
+  watch();
+}
+
+Exchange::Exchange(InstancePool& pool, std::string address, int descriptor,
+                   const ResponseParser::Place& place, Events& events)
+    : pool_(pool),
+      address_(std::move(address)),
+      events_(events),
+      connection_(bufferevent_socket_new(pool.loop_.base(), descriptor, BEV_OPT_CLOSE_ON_FREE)),
+      heard_(true),
+      progress_(Progress::streaming) {
+  if (!connection_) {
+    evutil_closesocket(descriptor);
+    throw std::runtime_error("no buffer for a connection");
+  }
+  ++pool_.open_;
+  if (!parser_.go_on_with_stream(place)) {
+    limit_ = pool_.loop_.at(pool_.loop_.now(), [this] { end(false); });
+    return;
+  }
+  watch();
+  bufferevent_enable(connection_.get(), EV_READ | EV_WRITE);
+}
+
+int Exchange::passable() const {
+  if (connection_ == nullptr || progress_ != Progress::streaming || !parser_.place()) return -1;
+  const bool empty = evbuffer_get_length(bufferevent_get_input(connection_.get())) == 0 &&
+                     evbuffer_get_length(bufferevent_get_output(connection_.get())) == 0;
+  return empty ? bufferevent_getfd(connection_.get()) : -1;
+}
+
+void Exchange::watch() {
   bufferevent_setcb(
       connection_.get(),
       [](bufferevent*, void* self) {
--- a/src/net/instances/instance_pool.hpp
+++ b/src/net/instances/instance_pool.hpp
@@ -36,6 +36,9 @@
   // `head`: the request's head, or a whole request without a body. `body` is shared, not copied.
   Exchange(InstancePool& pool, std::string address, std::string head, std::shared_ptr<const std::string> body,
            bool repeatable, Events& events);
+  // Goes on with one whose response another process has read so far; takes the descriptor.
+  Exchange(InstancePool& pool, std::string address, int descriptor, const ResponseParser::Place& place,
+           Events& events);
   ~Exchange();
   Exchange(const Exchange&) = delete;
   Exchange& operator=(const Exchange&) = delete;
@@ -44,9 +47,13 @@
   // Stops reading from the connection, and goes on.
   void pause(bool on);
   [[nodiscard]] const ResponseParser& response() const { return parser_; }
+  // Its descriptor where it is within a streamed body and nothing read or written waits in this process; else
+  // -1.
+  [[nodiscard]] int passable() const;
 
  private:
   friend class InstancePool;
+  void watch();
   void connected();
   void write_body();
   void written();
--- a/src/net/platform/platform_front.cpp
+++ b/src/net/platform/platform_front.cpp
@@ -1,5 +1,7 @@
 #include "net/platform/platform_front.hpp"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <charconv>
 #include <memory>
@@ -107,6 +109,9 @@
   PlatformReply(std::unique_ptr<Incoming> incoming, PlatformFront::Names open, std::string name)
       : HttpReply(std::move(incoming)), open_(std::move(open)), name_(std::move(name)) {}
   ~PlatformReply() override { open_->erase(name_); }
+  // Its bytes are all that a stream of the platform's needs to go on.
+  [[nodiscard]] std::optional<core::Passed> passed() const override { return incoming_->passed(); }
+  void let_go() override { incoming_->let_go(); }
 
  private:
   PlatformFront::Names open_;
@@ -148,4 +153,22 @@
   if (id != 0) client.on_gone([this, id] { conductor_.client_gone(id); });
 }
 
+void PlatformFront::take_over(const std::string& name, core::RunningStream stream, HttpServer& clients,
+                              const core::Conductor::MakeAttempt& make) {
+  std::unique_ptr<Incoming> incoming = clients.take_over(stream.client);
+  if (incoming == nullptr || stream.ask.facts.request_class >= classes_.size() ||
+      !open_->insert(name).second) {
+    // Nobody has made anything of the instance's connection yet, so this closes it too.
+    (void)close(stream.instance.descriptor);
+    return;
+  }
+  auto payload = std::make_shared<core::Payload>();
+  payload->id = name;
+  stream.ask.payload = std::move(payload);
+  // Told first: where its attempt can't be made, the request is over before its id is known here.
+  auto id = std::make_shared<core::RequestId>(0);
+  incoming->on_gone([this, id] { conductor_.client_gone(*id); });
+  *id = conductor_.take_over(stream, std::make_unique<PlatformReply>(std::move(incoming), open_, name), make);
+}
+
 }  // namespace bankmux::net
--- a/src/net/platform/platform_front.hpp
+++ b/src/net/platform/platform_front.hpp
@@ -23,6 +23,10 @@
         tenants_(std::move(tenants)) {}
 
   void handle(std::unique_ptr<Incoming> incoming);
+  // Goes on with a stream that another process of this conductor began, by the request's name; takes both
+  // descriptors. Where the client's side can't be read, or that name is open here, both are closed.
+  void take_over(const std::string& name, core::RunningStream stream, HttpServer& clients,
+                 const core::Conductor::MakeAttempt& make);
   void set_ready(bool ready) { ready_ = ready; }
 
  private:
--- a/src/sse/stream_scanner.cpp
+++ b/src/sse/stream_scanner.cpp
@@ -42,6 +42,14 @@
   return details != usage->end() && details->is_object() ? count(*details, "cached_tokens") : 0;
 }
 
+StreamScanner::StreamScanner(Open open)
+    : line_(std::move(open.line)),
+      data_(std::move(open.data)),
+      data_lines_(open.data_lines),
+      skip_(open.skip),
+      after_cr_(open.after_cr),
+      failed_(open.failed) {}
+
 void StreamScanner::feed(std::string_view bytes) {
   while (!bytes.empty()) {
     // The LF of a CRLF whose CR has ended the line.
@@ -133,10 +141,10 @@
 eiderarch::LoadReport parse_report(std::string_view text) {
   using Field = eiderarch::ReportField;
   static const std::pair<std::string_view, Field> kNames[] = {
-      {"inflight", Field::in_flight},    {"queue", Field::queued},     {"util", Field::utilisation},
-      {"latency_ms", Field::latency_ms}, {"qps", Field::rate},         {"eps", Field::errors},
-      {"concurrent", Field::in_flight},  {"depth", Field::queued},
-      {"x0", Field::memory_share},       {"x1", Field::queued_ktokens}};
+      {"inflight", Field::in_flight},    {"queue", Field::queued}, {"util", Field::utilisation},
+      {"latency_ms", Field::latency_ms}, {"qps", Field::rate},     {"eps", Field::errors},
+      {"concurrent", Field::in_flight},  {"depth", Field::queued}, {"x0", Field::memory_share},
+      {"x1", Field::queued_ktokens}};
   eiderarch::LoadReport report;
   while (!text.empty()) {
     const std::string_view item = text.substr(0, text.find(','));
--- a/src/sse/stream_scanner.hpp
+++ b/src/sse/stream_scanner.hpp
@@ -12,6 +12,16 @@
 
 class StreamScanner {
  public:
+  // What of a stream is in hand between two looks, so that another may look on.
+  struct Open {
+    std::string line, data;
+    int data_lines = 0;
+    bool skip = false, after_cr = false, failed = false;
+  };
+  StreamScanner() = default;
+  explicit StreamScanner(Open open);
+  [[nodiscard]] Open open() const { return {line_, data_, data_lines_, skip_, after_cr_, failed_}; }
+
   void feed(std::string_view bytes);
   [[nodiscard]] eiderarch::Tokens found() const { return found_; }
   [[nodiscard]] const eiderarch::LoadReport& report() const { return report_; }
--- /dev/null
+++ b/tests/handover_test.cpp
@@ -0,0 +1,329 @@
+// Streams that pass from one process of a conductor to the next: the message, and the core's part.
+#include <rapidcheck.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+
+#include "core/conductor.hpp"
+#include "fake_time.hpp"
+#include "net/http/http_server.hpp"
+#include "net/http/payload.hpp"
+#include "net/http/response_parser.hpp"
+#include "operations/passed_stream.hpp"
+#include "sse/stream_scanner.hpp"
+#include "stories/peers.hpp"
+
+using namespace bankmux;
+using namespace std::chrono_literals;
+using test::FakeTime;
+
+namespace {
+
+core::RunningStream drawn_stream() {
+  core::RunningStream stream;
+  stream.ask.facts.request_class = *rc::gen::inRange<std::uint32_t>(0, 50);
+  stream.ask.facts.tenant = *rc::gen::inRange<std::uint32_t>(0, 50);
+  stream.ask.facts.prompt_tokens = *rc::gen::inRange(0, 1'000'000);
+  stream.box = *rc::gen::nonEmpty(rc::gen::container<std::string>(rc::gen::inRange('a', 'z')));
+  stream.attempts = *rc::gen::inRange(1, 9);
+  stream.first = core::Duration(*rc::gen::inRange(0, 9'000'000));
+  stream.age = stream.first + core::Duration(*rc::gen::inRange(0, 9'000'000));
+  stream.client.state = *rc::gen::arbitrary<std::string>();
+  stream.instance.state = *rc::gen::arbitrary<std::string>();
+  return stream;
+}
+
+}  // namespace
+
+TEST_CASE("A passed stream reads back as it was written; what is spoilt or cut is no stream") {
+  CHECK(rc::check("encode, decode", [] {
+    const core::RunningStream stream = drawn_stream();
+    const std::string message = operations::encode("r-1", stream);
+    const auto back = operations::decode_stream(message);
+    RC_ASSERT(back.has_value());
+    RC_ASSERT(back->name == "r-1");
+    RC_ASSERT(back->stream.box == stream.box);
+    RC_ASSERT(back->stream.ask.facts.request_class == stream.ask.facts.request_class);
+    RC_ASSERT(back->stream.ask.facts.tenant == stream.ask.facts.tenant);
+    RC_ASSERT(back->stream.ask.facts.prompt_tokens == stream.ask.facts.prompt_tokens);
+    RC_ASSERT(back->stream.attempts == stream.attempts);
+    RC_ASSERT(back->stream.age == stream.age);
+    RC_ASSERT(back->stream.first == stream.first);
+    RC_ASSERT(back->stream.client.state == stream.client.state);
+    RC_ASSERT(back->stream.instance.state == stream.instance.state);
+  }));
+  CHECK(rc::check("spoilt", [] {
+    std::string message = operations::encode("r-1", drawn_stream());
+    const std::size_t cut = *rc::gen::inRange<std::size_t>(0, message.size());
+    RC_ASSERT(!operations::decode_stream(message.substr(0, cut)));
+    // Whatever one byte becomes, what is read is in its ranges.
+    message[cut] = char(*rc::gen::arbitrary<unsigned char>());
+    if (const auto read = operations::decode_stream(message)) {
+      RC_ASSERT(read->stream.attempts >= 1);
+      RC_ASSERT(read->stream.first <= read->stream.age);
+      RC_ASSERT(read->name.find('/') == std::string::npos);
+    }
+  }));
+  core::RunningStream large = {};
+  large.box = "b";
+  large.client.state.assign(operations::kMostMessage, 'x');
+  CHECK(operations::encode("r-1", large).empty());
+}
+
+TEST_CASE("A response that is read on from any byte of its body ends as if it had been read by one") {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string body =
+      "a\r\ndata: {}\n\n\r\n1c;x=y\r\ndata: {\"error\":{\"code\":1}}\n\n\r\n0\r\nX-More: 1\r\n\r\n";
+  for (std::size_t at = 0; at < body.size(); ++at) {
+    INFO("from byte " << at);
+    net::ResponseParser first, second;
+    sse::StreamScanner looked;
+    std::string seen;
+    first.feed(head + body.substr(0, at), seen);
+    looked.feed(seen);
+    const auto place = first.place();
+    REQUIRE(place.has_value());
+    REQUIRE(second.go_on_with_stream(*place));
+    sse::StreamScanner looks_on(looked.open());
+    std::string rest;
+    CHECK(second.feed(body.substr(at), rest) == body.size() - at);
+    looks_on.feed(rest);
+    CHECK(second.state() == net::ResponseParser::State::done);
+    CHECK(second.keep_alive());
+    CHECK(looks_on.failed());
+    CHECK((seen + rest).size() == 10 + 28);
+  }
+  net::ResponseParser whole;
+  std::string seen;
+  whole.feed(head + body, seen);
+  CHECK_FALSE(whole.place().has_value());
+  CHECK_FALSE(net::ResponseParser().go_on_with_stream({0, 0, "", true}));
+  CHECK_FALSE(net::ResponseParser().go_on_with_stream({99, 0, "", true}));
+}
+
+// Copied out, the answer's head came as zeros, and its client could read nothing of it.
+TEST_CASE("What a client has not been sent yet goes with its connection, head and all") {
+  net::Loop loop;
+  std::unique_ptr<net::Incoming> taken_over;
+  net::HttpServer next(loop, stories::own_address(), [](std::unique_ptr<net::Incoming>) {}, {});
+  const std::string address = stories::own_address();
+  net::HttpServer server(loop, address,
+                         [&](std::unique_ptr<net::Incoming> incoming) {
+                           incoming->begin(200, {{"Content-Type", "text/event-stream"}});
+                           incoming->chunk("data: 1\n\n");
+                           auto passed = incoming->passed();
+                           REQUIRE(passed.has_value());
+                           passed->descriptor = dup(passed->descriptor);
+                           incoming->let_go();
+                           taken_over = next.take_over(*passed);
+                           REQUIRE(taken_over != nullptr);
+                           taken_over->chunk("data: 2\n\n");
+                           taken_over->end();
+                           loop.stop();
+                         },
+                         {});
+  const auto client = stories::Wire::to(address);
+  client->send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+  loop.run();
+  const auto enough = loop.at(loop.now() + 100ms, [&loop] { loop.stop(); });
+  loop.run();  // in which what waits goes out
+  const std::string answer = client->receive_until("0\r\n\r\n");
+  CHECK(answer.starts_with("HTTP/1.1 200 OK\r\n"));
+  CHECK(answer.find("9\r\ndata: 1\n\n\r\n9\r\ndata: 2\n\n\r\n0\r\n\r\n") != std::string::npos);
+  CHECK(server.connections() == 0);
+  CHECK(next.connections() == 1);
+  CHECK(next.take_over({dup(0), "nonsense"}) == nullptr);
+}
+
+namespace {
+
+using Log = std::vector<std::string>;
+
+struct Stream : core::Attempt {
+  Log& log;
+  core::AttemptEvents& events;
+  bool may;
+  Stream(Log& l, core::AttemptEvents& e, bool passable) : log(l), events(e), may(passable) {}
+  ~Stream() override { log.emplace_back("close"); }
+  [[nodiscard]] core::Progress progress() const override { return core::Progress::streaming; }
+  [[nodiscard]] std::optional<core::Passed> passed() const override {
+    return may ? std::optional(core::Passed{7, "instance"}) : std::nullopt;
+  }
+};
+
+struct Reply : core::ClientReply {
+  Log& log;
+  explicit Reply(Log& l) : log(l) {}
+  void refuse(const core::Ending&) override { log.emplace_back("refused"); }
+  void fail(const core::Ending&) override { log.emplace_back("failed"); }
+  void relay(const core::Answer&) override { log.emplace_back("relayed"); }
+  void begin() override { log.emplace_back("begin"); }
+  void data(std::string_view bytes) override { log.emplace_back(bytes); }
+  void end() override { log.emplace_back("end"); }
+  void abort(const core::Ending&) override { log.emplace_back("abort"); }
+  [[nodiscard]] std::optional<core::Passed> passed() const override { return core::Passed{8, "client"}; }
+  void let_go() override { log.emplace_back("let go"); }
+};
+
+struct Wires : core::Instances, core::Discovery {
+  Log& log;
+  Stream* out = nullptr;
+  bool passable = true;
+  explicit Wires(Log& l) : log(l) {}
+  std::unique_ptr<core::Attempt> start(const core::Target&, const core::PayloadPtr&, core::Duration, bool,
+                                       std::function<bool()>, core::AttemptEvents& events) override {
+    auto stream = std::make_unique<Stream>(log, events, passable);
+    out = stream.get();
+    return stream;
+  }
+  void claim(const core::Target&, const core::PayloadPtr&, std::function<bool()>,
+             std::function<void(core::ClaimAnswer)>) override {}
+  void release(const core::Target&, const core::PayloadPtr&, std::function<void(bool)>) override {}
+  void probe(const core::Target&, std::function<void(const core::AttemptResult&)>) override {}
+  void forget(const core::Target&) override {}
+  void subscribe() override {}
+  void fetch() override {}
+};
+
+struct Process {
+  Log log;
+  FakeTime time;
+  Wires wires{log};
+  std::unique_ptr<core::Conductor> conductor;
+  std::vector<core::RequestRecord::Result> ends;
+  Process() {
+    core::ConductorSettings s;
+    s.module.classes.resize(1);
+    s.module.classes[0].effect = eiderarch::Effect::safe;
+    s.module.classes[0].aim = 2s;
+    s.module.classes[0].deadline = 8s;
+    s.module.kinds = {{eiderarch::Role::both, 0}};
+    s.module.limits.max_attempts = 4;
+    s.module.writers_read = true;
+    conductor =
+        std::make_unique<core::Conductor>(s, time, wires, wires, [](const char*, const std::string&) {});
+    conductor->observe([this](const core::RequestRecord& record) { ends.push_back(record.result); });
+    core::Listed box;
+    box.id = "box";
+    box.entry.engine = 5;
+    conductor->news({eiderarch::ListScope::changes, {box}});
+  }
+  void ask() {
+    core::Ask ask;
+    ask.facts.prompt_tokens = 100;
+    ask.facts.deadline = time.now() + 5s;
+    auto payload = std::make_shared<core::Payload>();
+    payload->id = "r-1";
+    ask.payload = payload;
+    conductor->take(std::move(ask), std::make_unique<Reply>(log));
+    time.settle();
+  }
+  core::RequestId take_over(const core::RunningStream& stream) {
+    const auto id =
+        conductor->take_over(stream, std::make_unique<Reply>(log), [this](core::AttemptEvents& events) {
+          auto attempt = std::make_unique<Stream>(log, events, true);
+          wires.out = attempt.get();
+          return attempt;
+        });
+    time.settle();
+    return id;
+  }
+  void ended(core::Verdict verdict) {
+    core::AttemptResult result;
+    result.verdict = verdict;
+    result.progress = core::Progress::streaming;
+    wires.out->events.on_ended(std::move(result));
+    time.settle();
+  }
+};
+
+// A stream in its middle, and all that one process knows of it.
+core::RunningStream running(Process& first) {
+  first.ask();
+  first.wires.out->events.on_written();
+  first.wires.out->events.on_data("a");
+  first.time.pass(2s);
+  core::RunningStream passed;
+  CHECK(first.conductor->pass_streams([&passed](const core::RunningStream& stream) {
+    passed = stream;
+    return true;
+  }) == 1);
+  first.time.settle();
+  return passed;
+}
+
+}  // namespace
+
+TEST_CASE("A stream that is passed on ends in silence here, and with its own end there") {
+  Process first, second;
+  const core::RunningStream passed = running(first);
+  CHECK(first.log == Log{"begin", "a", "let go", "close"});
+  CHECK(first.conductor->open_requests() == 0);
+  CHECK(first.ends == std::vector{core::RequestRecord::Result::passed_on});
+  CHECK(first.conductor->figures().by_class[0].served == 0);
+  CHECK(passed.box == "box");
+  CHECK(passed.age == 2s);
+  CHECK(passed.client.state == "client");
+  CHECK(passed.instance.descriptor == 7);
+
+  second.take_over(passed);
+  CHECK(second.conductor->open_requests() == 1);
+  CHECK(second.conductor->out_at(5) == 1);
+  second.wires.out->events.on_data("b");
+  second.ended(core::Verdict::served);
+  CHECK(second.log == Log{"b", "close", "end"});
+  CHECK(second.conductor->figures().by_class[0].served == 1);
+  CHECK(second.conductor->open_requests() == 0);
+}
+
+TEST_CASE("A stream that was taken over breaks off with its instance, and is never sent again") {
+  for (const bool silent : {false, true}) {
+    Process first, second;
+    second.take_over(running(first));
+    second.wires.out->events.on_data("b");
+    silent ? second.time.pass(5s) : second.ended(core::Verdict::broken);
+    CHECK(second.log == Log{"b", "close", "abort"});
+    second.time.pass(10s);
+    CHECK(second.conductor->open_requests() == 0);
+    CHECK(second.conductor->figures().attempts == 0);
+  }
+  Process first, second;
+  const core::RequestId id = second.take_over(running(first));
+  second.conductor->client_gone(id);
+  second.time.settle();
+  CHECK(second.log == Log{"close"});
+  CHECK(second.ends == std::vector{core::RequestRecord::Result::gone});
+}
+
+TEST_CASE("Where the attempt can't be made there, the client's stream breaks off once") {
+  Process first, second;
+  const core::RunningStream passed = running(first);
+  second.conductor->take_over(passed, std::make_unique<Reply>(second.log),
+                              [](core::AttemptEvents&) { return std::unique_ptr<core::Attempt>(); });
+  second.time.pass(10s);
+  CHECK(second.log == Log{"abort"});
+  CHECK(second.conductor->open_requests() == 0);
+}
+
+TEST_CASE("What is not taken, or can't be passed on as it is, goes on where it was") {
+  for (const bool passable : {true, false}) {
+    Process process;
+    process.wires.passable = passable;
+    process.ask();
+    process.wires.out->events.on_written();
+    int offered = 0;
+    const auto refuse = [&offered](const core::RunningStream&) {
+      ++offered;
+      return false;
+    };
+    CHECK(process.conductor->pass_streams(refuse) == 0);  // not begun
+    CHECK(offered == 0);
+    process.wires.out->events.on_data("a");
+    CHECK(process.conductor->pass_streams(refuse) == 0);
+    CHECK(offered == (passable ? 1 : 0));
+    process.wires.out->events.on_data("b");
+    process.ended(core::Verdict::served);
+    CHECK(process.log == Log{"begin", "a", "b", "close", "end"});
+  }
+}
--- a/tests/stories/operations_stories.cpp
+++ b/tests/stories/operations_stories.cpp
@@ -205,3 +205,118 @@
   CHECK(Operated::call(second, "POST /-/instances/s/enable").starts_with("HTTP/1.1 200"));
   next->terminate();
 }
+
+namespace {
+
+// Begins a stream, waits for the word, and then gives the rest: in pieces that end nowhere in particular, or
+// not at all.
+Peer::Script slow_box(Record& seen, bool breaks = false) {
+  return [&seen, breaks](Wire& wire) {
+    while (const auto request = wire.receive()) {
+      if (!request->first.starts_with("POST /v1")) {
+        wire.send(simple("204 No Content"));
+        continue;
+      }
+      seen.add("asked");
+      const std::string rest = chunk("data: 2\n\n") + chunk("data: [DONE]\n\n") + "0\r\n\r\n";
+      wire.send(stream_head() + chunk("data: 1\n\n") + rest.substr(0, 7));
+      if (!seen.wait_for("go on", 1, 20000) || breaks) return;
+      for (const char letter : rest.substr(7)) wire.send(std::string(1, letter));
+    }
+  };
+}
+
+// What the chunks of an answer hold.
+std::string contents(const std::string& wire) {
+  std::string text;
+  for (std::size_t at = wire.find("\r\n\r\n") + 4; at < wire.size();) {
+    const std::size_t size = std::stoul(wire.substr(at), nullptr, 16);
+    at = wire.find("\r\n", at) + 2;
+    text += wire.substr(at, size);
+    at += size + 2;
+  }
+  return text;
+}
+
+std::string kept_request(const std::string& txn) {
+  std::string text = client_request(txn, "ajuste", 5000, 100);
+  const std::string close = "Connection: close\r\n";
+  return text.erase(text.find(close), close.size());
+}
+
+// The next version, once it takes clients.
+std::unique_ptr<Program> next_version(const Operated& o, const std::string& second) {
+  auto next = o.platform.start({{"PROXY_MGMT", second}});
+  REQUIRE(Program::listens(second));
+  for (int i = 0; i < 300 && !Operated::call(second, "GET /-/ready").starts_with("HTTP/1.1 200"); ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  return next;
+}
+
+}  // namespace
+
+TEST_CASE("Streams that run go on in the next process, whole, with their clients' connections") {
+  Record seen;
+  Peer slow(slow_box(seen));
+  Operated o({{"s", "mixto", slow.address()}}, true);
+  constexpr int kStreams = 40;
+  std::vector<std::unique_ptr<Wire>> clients;
+  std::vector<std::string> begun;
+  for (int i = 0; i < kStreams; ++i) {
+    clients.push_back(o.platform.connect());
+    clients.back()->send(kept_request("held-" + std::to_string(i)));
+    begun.push_back(clients.back()->receive_until("data: 1\n\n"));
+  }
+  const std::string second = own_address();
+  const auto next = next_version(o, second);
+  o.platform.program().terminate();
+  CHECK(o.platform.program().wait() == 0);  // before any stream has ended
+  seen.add("go on");
+  for (int i = 0; i < kStreams; ++i) {
+    const std::string whole = begun[i] + clients[i]->receive_until("0\r\n\r\n");
+    CHECK(contents(whole) == "data: 1\n\ndata: 2\n\ndata: [DONE]\n\n");
+  }
+  CHECK(seen.count("asked") == kStreams);  // not one was sent again
+  clients[0]->send(kept_request("another"));
+  CHECK(clients[0]->receive_until("0\r\n\r\n").ends_with("0\r\n\r\n"));
+  const std::string figures = Operated::call(second, "GET /-/metrics");
+  CHECK(figures.find("svc.fulfilled.ajuste=" + std::to_string(kStreams + 1) + "\n") != std::string::npos);
+  CHECK(figures.find("svc.open_requests=0\n") != std::string::npos);
+  next->terminate();
+  CHECK(next->wait() == 0);
+}
+
+TEST_CASE("A stream that went on in the next process and whose box breaks is cut, not ended") {
+  Record seen;
+  Peer slow(slow_box(seen, true));
+  Operated o({{"s", "mixto", slow.address()}}, true);
+  const auto client = o.platform.connect();
+  client->send(kept_request("held"));
+  REQUIRE(client->receive_until("data: 1\n\n").ends_with("data: 1\n\n"));
+  const auto next = next_version(o, own_address());
+  o.platform.program().terminate();
+  CHECK(o.platform.program().wait() == 0);
+  seen.add("go on");
+  CHECK_FALSE(client->receive_all().ends_with("0\r\n\r\n"));
+  CHECK(seen.count("asked") == 1);
+}
+
+TEST_CASE("Without a next process a stream ends where it began; without a passed socket nothing listens") {
+  Record seen;
+  Peer slow(slow_box(seen));
+  for (const bool passed : {true, false}) {
+    Operated o({{"s", "mixto", slow.address()}}, passed);
+    const auto name = std::filesystem::path(o.folder) / "bankmux-n1-streams";
+    CHECK(std::filesystem::exists(name) == passed);
+    const auto client = o.platform.connect();
+    client->send(kept_request("held"));
+    REQUIRE(client->receive_until("data: 1\n\n").ends_with("data: 1\n\n"));
+    o.platform.program().terminate();
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    seen.add("go on");
+    CHECK(client->receive_all().ends_with("0\r\n\r\n"));
+    CHECK(o.platform.program().wait() == 0);
+    seen.clear();
+  }
+}
