Share duties and operators' drains among appliances on one machine, one owner at a time

Several appliances asked each box n times over, and a drain said at one was unknown to the others. Change: 'coordination' in the appliance's file (folder, member, lease_s; schema and reader name a bad key), src/duties (the prober's report and how long it stands, pure; the runner that ties ownership to the store), app/fleet_work, /-/duties and 'bankmux duties', log lines for each change of owner, docs/duties.md. Without 'coordination', and on the platform, no file, no thread, no descriptor of it: a story reads what the process has open. Rig: tests/fleet starts real processes over one store and stand-in boxes, kills, stops, wakes and restarts them, and checks one history: a token is one owner's for ever, nobody may act by an older one, never two at once. Stories: one asks for all; kill; stop for twice the lease, three times, and wake; SIGTERM with a lease of 20 s; drains that outlive all processes; the store held by another for twice the lease; a store set back.

--- a/src/app/page_commands.cpp
+++ b/src/app/page_commands.cpp
@@ -143,4 +143,36 @@
   return 0;
 }
 
+int duties_command(const std::string& connect, bool as_json) {
+  int code = 0;
+  const auto answer = page(connect, "/-/duties", code);
+  if (!answer) return code;
+  if (as_json) {
+    std::printf("%s\n", answer->dump(2).c_str());
+    return 0;
+  }
+  std::string members;
+  for (const json& member : answer->at("members"))
+    members += (members.empty() ? "" : ", ") + member.get<std::string>();
+  std::printf("here %s   members %s   store %s\n", answer->at("member").get<std::string>().c_str(),
+              members.empty() ? "none" : members.c_str(), answer->at("store").get<std::string>().c_str());
+  if (answer->at("set_back").get<bool>())
+    std::printf("the store was set back: nothing is owned here until a restart\n");
+  const auto ago = [](const json& row, const char* name) {
+    char text[32] = "-";
+    if (row.contains(name)) std::snprintf(text, sizeof text, "%.1f s", row[name].get<double>());
+    return std::string(text);
+  };
+  std::printf("%-12s %-20s %-5s %8s %10s %10s %8s %8s\n", "DUTY", "OWNER", "HERE", "TOKEN", "SINCE",
+              "LAST ACT", "ACTS", "REFUSED");
+  for (const json& row : answer->at("duties")) {
+    std::printf("%-12s %-20s %-5s %8llu %10s %10s %8llu %8llu\n", row.at("duty").get<std::string>().c_str(),
+                row.at("owner").is_null() ? "nobody" : row.at("owner").get<std::string>().c_str(),
+                row.at("here").get<bool>() ? "yes" : "no", row.value("token", 0ULL),
+                ago(row, "since_s").c_str(), ago(row, "last_act_s").c_str(), row.value("acts", 0ULL),
+                row.value("refused", 0ULL));
+  }
+  return 0;
+}
+
 }  // namespace bankmux::app
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -9,6 +9,7 @@
 
 #include "admission/door.hpp"
 #include "app/cpu_watch.hpp"
+#include "app/fleet_work.hpp"
 #include "app/operations.hpp"
 #include "app/request_log.hpp"
 #include "app/succession.hpp"
@@ -219,8 +220,15 @@
                        all);
     });
   };
-  WindDown wind_down(
-      loop, *conductor, servers, kApplianceAccepting, [&] { page.set_ending(); }, reload);
+  std::optional<FleetWork> fleet_work;
+  if (appliance.coordination) {
+    fleet_work.emplace(loop, *appliance.coordination, appliance.check_every, boxes, page);
+  }
+  const auto begun = [&] {
+    page.set_ending();
+    if (fleet_work) fleet_work->leave();
+  };
+  WindDown wind_down(loop, *conductor, servers, kApplianceAccepting, begun, reload);
   boxes.open();
   log::write("start", appliance.name + " serves the chat API at " + appliance.listen);
   wind_down.run();
--- a/src/config/appliance.cpp
+++ b/src/config/appliance.cpp
@@ -1,6 +1,7 @@
 #include "config/appliance.hpp"
 
 #include <algorithm>
+#include <filesystem>
 #include <map>
 
 #include "config/fields.hpp"
@@ -16,6 +17,7 @@
 
 constexpr std::size_t kMostBoxes = 64;
 constexpr double kOverShareWorth = 0.25;  // what a tenant asks beyond its quota waits behind the rest
+constexpr core::Duration kLeastLease = 1s, kMostLease = 300s;
 constexpr double kMib = 1024.0 * 1024.0;
 
 eiderarch::RequestClass read_class(const Fields& f) {
@@ -101,6 +103,26 @@
 
 namespace {
 
+bool plain_name(const std::string& text) {
+  return std::ranges::all_of(
+      text, [](unsigned char c) { return std::isalnum(c) || c == '-' || c == '_' || c == '.'; });
+}
+
+Coordination read_coordination(const Fields& f, const std::string& name) {
+  Coordination c;
+  const std::string folder = f.text("folder");
+  std::error_code error;
+  if (!std::filesystem::is_directory(folder, error)) f.bad("folder", "is not a folder: '" + folder + "'");
+  c.file = folder + "/bankmux-fleet.db";
+  c.member = f.text("member", name);
+  // It stands in the store's keys.
+  if (!plain_name(c.member)) f.bad("member", "holds other than letters, digits, '-', '_' and '.'");
+  c.lease = f.seconds("lease_s", c.lease);
+  if (c.lease < kLeastLease || c.lease > kMostLease) f.bad("lease_s", "is not within 1 and 300");
+  f.no_others();
+  return c;
+}
+
 Appliance read_fields(const json& document) {
   const Fields f(document, "");
   Appliance a;
@@ -134,6 +156,7 @@
   a.ledger.answer_bytes = std::size_t(answers * kMib);
   a.ledger.one_answer = std::min(a.ledger.one_answer, a.ledger.answer_bytes);
   ledger.no_others();
+  if (f.has("coordination")) a.coordination = read_coordination(f.section("coordination"), a.name);
   if (f.has("cors_origins")) a.cors_origins = f.texts("cors_origins");
   a.module.limits.max_attempts = int(f.count("max_attempts", 3, 1, 10));
   a.module.seed = f.count("seed", 1, 0, 1'000'000'000);
@@ -172,9 +195,7 @@
     Box box{row.text("id"), row.address("address"), row.number("weight", 1.0, 0.01, 1000.0)};
     if (std::ranges::count(a.boxes, box.id, &Box::id) > 0) row.bad("id", "is there twice: '" + box.id + "'");
     // It stands in the paths of the operator's page.
-    const bool plain = std::ranges::all_of(
-        box.id, [](unsigned char c) { return std::isalnum(c) || c == '-' || c == '_' || c == '.'; });
-    if (!plain) row.bad("id", "holds other than letters, digits, '-', '_' and '.'");
+    if (!plain_name(box.id)) row.bad("id", "holds other than letters, digits, '-', '_' and '.'");
     row.no_others();
     a.boxes.push_back(std::move(box));
   }
--- a/src/config/appliance.hpp
+++ b/src/config/appliance.hpp
@@ -27,6 +27,13 @@
   double weight = 1.0;
 };
 
+// The store that several processes on one machine agree by.
+struct Coordination {
+  std::string file;
+  std::string member;                // this process's name among them
+  core::Duration lease{10'000'000};  // after which what a dead process owned is another's
+};
+
 struct Appliance {
   std::string name;
   std::string listen;                // the chat API and /-/healthy
@@ -47,6 +54,7 @@
   std::optional<std::vector<admission::Key>> keys;  // what it holds
   std::vector<std::string> tenants;                 // those at start, in order: their numbers in the module
   admission::LedgerLimits ledger;
+  std::optional<Coordination> coordination;  // none: this process knows of no other
   std::size_t sockets = 1024;
   std::size_t memory_mb = 192;
   eiderarch::Settings module;
--- a/src/coordination/sqlite_store.cpp
+++ b/src/coordination/sqlite_store.cpp
@@ -262,6 +262,7 @@
   File file(path_);
   std::unique_lock lock(mutex_);
   std::int64_t version = -1;
+  Revision told = 0;
   while (!ending_) {
     if (jobs_.empty()) {
       if (!watched_) {
@@ -278,14 +279,18 @@
     if (watched) {
       try {
         const std::int64_t seen = file.version();
-        // Own commits leave the version as it is.
-        if (!now.empty() || seen != version) {
-          answer([watches = watches_] {
-            const std::set<FileWatch*> all = *watches;
-            for (FileWatch* watch : all) {
-              if (watches->contains(watch)) watch->changed();
-            }
-          });
+        // Own commits leave the version as it is. A renewal changes nothing that anyone else reads, so the
+        // revision decides: else each of n members would wake all others with each of its renewals.
+        if (seen >= 0 && (!now.empty() || seen != version)) {
+          const Revision revision = file.revision();
+          if (std::exchange(told, revision) != revision) {
+            answer([watches = watches_] {
+              const std::set<FileWatch*> all = *watches;
+              for (FileWatch* watch : all) {
+                if (watches->contains(watch)) watch->changed();
+              }
+            });
+          }
         }
         version = seen;
       } catch (const Failure&) {
--- /dev/null
+++ b/src/duties/fleet_view.cpp
@@ -0,0 +1,50 @@
+#include "duties/fleet_view.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace bankmux::duties {
+
+using nlohmann::json;
+
+std::string encode(const Report& report) {
+  return json{{"number", report.number}, {"runs", report.runs}}.dump(-1, ' ', false,
+                                                                     json::error_handler_t::replace);
+}
+
+std::optional<Report> decode_report(std::string_view text) {
+  const json value = json::parse(text, nullptr, false);
+  if (!value.is_object() || !value.contains("number") || !value["number"].is_number_unsigned() ||
+      !value.contains("runs") || !value["runs"].is_object() || value["runs"].size() > kMostBoxes) {
+    return std::nullopt;
+  }
+  Report report;
+  report.number = value["number"].get<std::uint64_t>();
+  for (const auto& [box, runs] : value["runs"].items()) {
+    if (!runs.is_boolean()) return std::nullopt;
+    report.runs[box] = runs.get<bool>();
+  }
+  return report;
+}
+
+bool FleetView::heard(Time now, std::uint64_t revision, std::string_view text) {
+  if (revision <= revision_) return false;
+  auto report = decode_report(text);
+  // What can't be read says nothing, and the one before it grows old.
+  if (!report) return false;
+  revision_ = revision;
+  report_ = std::move(*report);
+  at_ = now;
+  return true;
+}
+
+bool FleetView::asks(Time now, bool owner) const { return owner || !at_ || now - *at_ >= fresh_for_; }
+
+std::optional<bool> FleetView::runs(Time now, const std::string& box) const {
+  if (!at_ || now - *at_ >= fresh_for_) return std::nullopt;
+  const auto it = report_.runs.find(box);
+  return it == report_.runs.end() ? std::nullopt : std::optional(it->second);
+}
+
+std::optional<Time> FleetView::age(Time now) const { return at_ ? std::optional(now - *at_) : std::nullopt; }
+
+}  // namespace bankmux::duties
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -74,6 +74,11 @@
   tenants->footer(
       "Example: bankmux tenants --connect 127.0.0.1:8081 --json\n"
       "Exit codes: 0 answered, 1 no answer, 2 a faulty address.");
+  CLI::App* duties =
+      cli.add_subcommand("duties", "Show who owns which duty of an appliance's fleet, and since when");
+  duties->footer(
+      "Example: bankmux duties --connect 127.0.0.1:8081 --json\n"
+      "Exit codes: 0 answered, 1 no answer or no 'coordination' there, 2 a faulty address.");
   CLI::App* ledger = cli.add_subcommand("ledger", "What became of a request under its Idempotency-Key");
   ledger->require_subcommand(1);
   CLI::App* show = ledger->add_subcommand("show", "Say whether it ran, and what a repeat would hear");
@@ -82,10 +87,10 @@
   show->footer(
       "Example: bankmux ledger show pedido-4711 --connect 127.0.0.1:8081\n"
       "Exit codes: 0 found, 1 nothing is kept under it or no answer, 2 a faulty address.");
-  for (CLI::App* asks : {console, tenants, show}) {
+  for (CLI::App* asks : {console, tenants, duties, show}) {
     asks->add_option("--connect", connect, "Where its operator's page listens")->capture_default_str();
   }
-  for (CLI::App* prints : {tenants, show}) prints->add_flag("--json", json, "As JSON");
+  for (CLI::App* prints : {tenants, duties, show}) prints->add_flag("--json", json, "As JSON");
   CLI::App* schema = cli.add_subcommand("schema", "Print the JSON Schema of the appliance file");
   CLI11_PARSE(cli, argc, argv);
   try {
@@ -97,6 +102,7 @@
     if (console->parsed()) return app::console(connect, once);
     if (key->parsed()) return app::key_command(key_order);
     if (tenants->parsed()) return app::tenants_command(connect, json);
+    if (duties->parsed()) return app::duties_command(connect, json);
     if (ledger->parsed()) return app::ledger_command(connect, ledger_key, tenant, json);
     if (check->parsed()) {
       const bool platform = appliance.empty();
--- a/src/net/appliance/box_watch.cpp
+++ b/src/net/appliance/box_watch.cpp
@@ -54,13 +54,25 @@
 }
 
 void BoxWatch::ask() {
+  next_ = scheduler_.at(scheduler_.now() + every_, [this] { ask(); });
+  if (fleet_ && !fleet_->asks()) {
+    for (Box& box : boxes_) {
+      if (const auto runs = fleet_->runs(box.listed.id)) believe(box, *runs);
+    }
+    return;
+  }
+  if (fleet_ && fleet_->heard) {
+    std::map<std::string, bool> all;  // by the answers of the round before
+    for (const Box& box : boxes_) all[box.listed.id] = box.runs;
+    fleet_->heard(all);
+  }
   for (const Box& box : boxes_) {
+    ++asked_;
     const core::Target target{box.listed.entry.engine, box.listed.id, box.listed.address};
     instances_.probe(target, [this, target](const core::AttemptResult& result) {
       heard(target, result.verdict != core::Verdict::broken);
     });
   }
-  next_ = scheduler_.at(scheduler_.now() + every_, [this] { ask(); });
 }
 
 void BoxWatch::heard(const core::Target& target, bool runs) {
@@ -69,14 +81,31 @@
   if (found == nullptr || found->listed.address != target.address) return;
   Box& box = *found;
   box.failures = runs ? 0 : box.failures + 1;
-  const bool now_runs = box.failures < kFailuresToGone;
-  if (now_runs == box.runs) return;
-  box.runs = now_runs;
+  believe(box, box.failures < kFailuresToGone);
+}
+
+void BoxWatch::believe(Box& box, bool runs) {
+  if (runs == box.runs) return;
+  box.runs = runs;
+  if (!runs) box.failures = kFailuresToGone;
   // It may have started anew meanwhile, and is treated as cold.
-  if (now_runs) box.listed.entry.started = scheduler_.now();
+  if (runs) box.listed.entry.started = scheduler_.now();
   tell();
 }
 
+void BoxWatch::set_out(const std::set<std::string>& ids) {
+  bool changed = false;
+  for (Box& box : boxes_) {
+    const bool out = ids.contains(box.listed.id);
+    changed |= std::exchange(box.drained, out) != out;
+  }
+  if (changed) tell();
+}
+
+bool BoxWatch::has(const std::string& id) const {
+  return std::ranges::any_of(boxes_, [&id](const Box& box) { return box.listed.id == id; });
+}
+
 BoxWatch::Box* BoxWatch::find(const std::string& id) {
   const auto box = std::ranges::find(boxes_, id, [](const Box& b) { return b.listed.id; });
   return box == boxes_.end() ? nullptr : &*box;
--- a/src/net/appliance/operator_page.cpp
+++ b/src/net/appliance/operator_page.cpp
@@ -164,6 +164,23 @@
   return out.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+void OperatorPage::drain_box(std::unique_ptr<Incoming> incoming, const std::string& id, bool out) {
+  if (!boxes_.has(id)) return incoming->answer(404, {}, "no such box\n");
+  if (!fleet_) {
+    boxes_.drain(id, out);
+    return incoming->answer(204, {}, "");
+  }
+  // To all first: another process may be the one that sends there by the time of the yes.
+  const auto held = std::make_shared<std::unique_ptr<Incoming>>(std::move(incoming));
+  fleet_->drain(id, out, [this, held, id, out](bool written) {
+    if (!written) {
+      return (*held)->answer(503, {{"Retry-After", "1"}}, "could not be written down; call again\n");
+    }
+    boxes_.drain(id, out);
+    (*held)->answer(204, {}, "");
+  });
+}
+
 void OperatorPage::handle(std::unique_ptr<Incoming> incoming) {
   const std::string path = incoming->path();
   const std::string method = incoming->method();
@@ -173,6 +190,11 @@
   if (path == "/-/tenants" && method == "GET") {
     return incoming->answer(200, {{"Content-Type", "application/json"}}, tenants());
   }
+  if (path == "/-/duties" && method == "GET") {
+    if (!fleet_) return incoming->answer(404, {}, "no 'coordination' in this appliance's file\n");
+    return incoming->answer(200, {{"Content-Type", "application/json"}},
+                            fleet_->duties().dump(-1, ' ', false, json::error_handler_t::replace));
+  }
   constexpr std::string_view kLedger = "/-/ledger/";
   if (path.starts_with(kLedger) && method == "GET") {
     const auto key = decoded(path.substr(kLedger.size()));
@@ -193,8 +215,7 @@
   if (method == "POST" && path.starts_with(kBoxes) && slash > kBoxes.size() &&
       (word == "drain" || word == "resume")) {
     const std::string id = path.substr(kBoxes.size(), slash - kBoxes.size());
-    const bool known = boxes_.drain(id, word == "drain");
-    return incoming->answer(known ? 204 : 404, {}, known ? "" : "no such box\n");
+    return drain_box(std::move(incoming), id, word == "drain");
   }
   incoming->answer(404, {}, "no such page\n");
 }
--- a/src/net/appliance/operator_page.hpp
+++ b/src/net/appliance/operator_page.hpp
@@ -1,8 +1,12 @@
-// What the operator's console and commands read and say: GET /-/status, /-/tenants and /-/ledger/KEY, POST
+// What the operator's console and commands read and say: GET /-/status, /-/tenants, /-/duties and
+// /-/ledger/KEY, POST
 // /-/boxes/ID/drain and /resume, POST /-/drain and /resume for the whole appliance.
 #pragma once
 
+#include <functional>
 #include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 
 #include "admission/door.hpp"
@@ -19,6 +23,14 @@
   OperatorPage(const core::Conductor& conductor, const core::Scheduler& scheduler, BoxWatch& boxes,
                const admission::Door& door, const config::Appliance& appliance);
 
+  // Where several processes share operators' words: `drain` says it to all, and then whether it was written;
+  // `duties` is what /-/duties shows.
+  struct Fleet {
+    std::function<void(const std::string& id, bool out, std::function<void(bool)> done)> drain;
+    std::function<nlohmann::json()> duties;
+  };
+  void share(Fleet fleet) { fleet_ = std::move(fleet); }
+
   void handle(std::unique_ptr<Incoming> incoming);
   // The process has been told to end.
   void set_ending() { ending_ = true; }
@@ -30,6 +42,7 @@
   [[nodiscard]] std::string status() const;
   [[nodiscard]] std::string tenants() const;
   [[nodiscard]] std::string ledger(const std::string& key) const;
+  void drain_box(std::unique_ptr<Incoming> incoming, const std::string& id, bool out);
 
   const core::Conductor& conductor_;
   const core::Scheduler& scheduler_;
@@ -37,6 +50,7 @@
   const admission::Door& door_;
   const config::Appliance& appliance_;
   core::Time started_;
+  std::optional<Fleet> fleet_;
   bool drained_ = false;
   bool ending_ = false;
 };
--- /dev/null
+++ b/tests/fleet_view_test.cpp
@@ -0,0 +1,49 @@
+// What a member believes of boxes that another asks for it.
+#include "duties/fleet_view.hpp"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+
+using namespace bankmux::duties;
+using namespace std::chrono_literals;
+
+TEST_CASE("A prober's report reads back as it was written, and what is spoilt says nothing") {
+  CHECK(rc::check("encode, decode", [] {
+    Report report;
+    report.number = *rc::gen::arbitrary<std::uint64_t>();
+    const auto names = *rc::gen::container<std::set<std::string>>(
+        rc::gen::container<std::string>(rc::gen::inRange('a', 'z')));
+    for (const std::string& name : names) report.runs[name] = *rc::gen::arbitrary<bool>();
+    const auto back = decode_report(encode(report));
+    RC_ASSERT(back.has_value());
+    RC_ASSERT(back->number == report.number);
+    RC_ASSERT(back->runs == report.runs);
+    const std::string text = encode(report);
+    RC_ASSERT(!decode_report(text.substr(0, *rc::gen::inRange<std::size_t>(0, text.size()))));
+  }));
+  for (const char* text :
+       {"", "[]", "7", R"({"number":1})", R"({"number":-1,"runs":{}})", R"({"number":1,"runs":{"a":1}})"}) {
+    CHECK_FALSE(decode_report(text));
+  }
+}
+
+TEST_CASE("A report stands for asking oneself as long as it is fresh, and an owner always asks") {
+  FleetView view(600ms);
+  CHECK(view.asks(0s, false));  // nobody has told anything
+  CHECK(view.heard(1s, 5, encode({1, {{"a", true}, {"b", false}}})));
+  CHECK_FALSE(view.asks(1s, false));
+  CHECK(view.asks(1s, true));
+  CHECK(view.runs(1s, "a") == true);
+  CHECK(view.runs(1s, "b") == false);
+  CHECK_FALSE(view.runs(1s, "c"));
+  // Read again, it is no younger; and an older one, or one that can't be read, changes nothing.
+  CHECK_FALSE(view.heard(1500ms, 5, encode({1, {{"a", false}}})));
+  CHECK_FALSE(view.heard(1500ms, 4, encode({9, {{"a", false}}})));
+  CHECK_FALSE(view.heard(1500ms, 6, "nonsense"));
+  CHECK(view.runs(1500ms, "a") == true);
+  CHECK(view.asks(1600ms, false));
+  CHECK_FALSE(view.runs(1600ms, "a"));
+  CHECK(view.heard(1700ms, 7, encode({1, {{"a", false}}})));  // of a new owner, whose numbers begin anew
+  CHECK(view.runs(1700ms, "a") == false);
+}
