Let a held state have 200 ms past its release time, within the platform's 300 on sockets

The protocol's rules on sockets give what is held 300 ms more; of these 100 are left for the release to arrive. A second writer that takes no connection for 250 ms is still not waited for: 0.25 + 0.25 s is past 0.3 + 0.2.

--- a/src/router/attempts.cpp
+++ b/src/router/attempts.cpp
@@ -168,7 +168,7 @@
     // What never arrived has not taken the state: its time runs on from before. Symptom: boxes that vanish
     // take no connection, and after some in a row the state is pinned. Harm: it is read once more elsewhere.
     if (e.outcome != Outcome::not_connected) r.held_at = now_;
-    const bool in_time = now_ - r.held_at + e.elapsed < s_.rules.release_within;
+    const bool in_time = now_ - r.held_at + e.elapsed < s_.rules.release_within + kReleaseSlack;
     r.stage = Stage::held;
     r.held_at == now_ || in_time ? hand_over(r) : wait_again(r);
   } else {
--- a/src/router/tuned.hpp
+++ b/src/router/tuned.hpp
@@ -62,6 +62,7 @@
 constexpr Duration kProof = 3s;         // how long a sign of life spares a box the question whether it runs
 constexpr double kWary = 0.1;  // share of connections that failed of late, from which boxes are asked so
 constexpr Duration kTrustTold = 1s;    // a report this old is no reason to keep a request back
+constexpr Duration kReleaseSlack = 200ms;  // past the release time; where the rule is kept by sockets it has 300
 constexpr Duration kSweep = 20ms;      // period of the sweep; well inside any release time
 constexpr Duration kResubscribe = 1s;  // wait after a failed list call
 constexpr Duration kReclaim = 40ms;    // how long before a deadline a waiting request is answered
