--- a/src/app/page_commands.hpp
+++ b/src/app/page_commands.hpp
@@ -1,5 +1,5 @@
-// `bankmux tenants`, `bankmux ledger show` and `bankmux duties`: one question to a serving appliance's operator
-// page. Exit codes: 0 answered, 1 nothing there or no answer, 2 a faulty address.
+// `bankmux tenants`, `bankmux ledger show` and `bankmux duties`: one question to a serving appliance's
+// operator page. Exit codes: 0 answered, 1 nothing there or no answer, 2 a faulty address.
 #pragma once
 
 #include <string>
--- a/src/config/settings_rules.hpp
+++ b/src/config/settings_rules.hpp
@@ -1,5 +1,6 @@
 // What a site's settings may hold: each key, its form and its range, in one table. The simulator's adapter
-// reads settings as they come; a conductor that starts on a slip of the pen would serve a day by a wrong rule.
+// reads settings as they come; a conductor that starts on a slip of the pen would serve a day by a wrong
+// rule.
 #pragma once
 
 #include <nlohmann/json.hpp>
--- a/src/net/platform/discovery_watch.hpp
+++ b/src/net/platform/discovery_watch.hpp
@@ -40,8 +40,8 @@
   bool whole_ = false;  // ask for the whole list
   bool heard_ = false;  // the watch now open has brought a line, if only an empty one
   int failures_ = 0;    // calls in a row that brought none
-  // It has refused a call, or must be asked for each list: one service of bounded capacity for many conductors.
-  // Until then it is taken for an agent on this machine.
+  // It has refused a call, or must be asked for each list: one service of bounded capacity for many
+  // conductors. Until then it is taken for an agent on this machine.
   bool shared_;
   Backoff backoff_shared_;
   std::mt19937_64 draw_;
