Keep reads after an attempt that may have run inside its class's group and window

Ruled out: second writes (they kept to the group), clients' own retries (their X-Txn is new). At fault: attempts.cpp, repeat_allowed let every reader pass; arrival.cpp, possible() counted writers alone; and an attempt proved not to have run narrowed the group as well. writer.cpp, some_work counted writers outside the group, so a request whose one writer had failed waited in vain for others that may never get it. Change: every later send of such a class keeps to group and window; Send says by when its last byte has to be out.

--- a/include/eiderarch/router.hpp
+++ b/include/eiderarch/router.hpp
@@ -205,6 +205,7 @@
   RequestId id = 0;
   EngineId engine = 0;
   Duration timeout{0};  // 0: until the client gives up
+  Time by{0};           // its last byte is not to leave later, or else not at all; 0: whenever
 };
 struct Cancel {
   RequestId id = 0;
--- a/src/router/arrival.cpp
+++ b/src/router/arrival.cpp
@@ -55,8 +55,9 @@
   bool read = false, write = false;
   for (const auto& [id, e] : known_.engines) {
     if (!e.live() || (spent && !untried(e, r))) continue;
+    if (!repeat_allowed(e, r)) continue;
     read |= e.reads() || s_.writers_read || e.role == Role::both;
-    write |= !e.reads() && repeat_allowed(e, r);
+    write |= !e.reads();
   }
   return read && write;
 }
--- a/src/router/attempts.cpp
+++ b/src/router/attempts.cpp
@@ -13,12 +13,13 @@
   return std::ranges::count(r.tried, e.entry.engine) == 0;
 }
 
+// Of a class that may be repeated in a group and a window, every later send counts, also one to a reader: it
+// is a copy of the request that goes out, and only the group knows what it has seen.
 bool Router::Impl::repeat_allowed(const Engine& e, const Request& r) const {
-  if (e.reads() || !r.may_have_run || r.cls.effect == Effect::safe) return true;
-  if (r.cls.effect == Effect::unsafe) return false;
+  if (!r.may_have_run || r.cls.effect == Effect::safe) return true;
+  if (r.cls.effect == Effect::unsafe || now_ + kRepeatMargin >= repeat_by(r)) return false;
   for (const Attempt& a : r.attempts) {
-    if (a.reader) continue;
-    if (now_ + 1ms >= a.sent + r.cls.repeat_window) return false;
+    if (!a.may_have_run) continue;
     const EngineEntry& was = known_.engines.at(a.engine).entry;
     if (r.cls.group == RepeatGroup::zone && was.zone != e.entry.zone) return false;
     if (r.cls.group == RepeatGroup::cell && was.cell != e.entry.cell) return false;
@@ -26,6 +27,13 @@
   return true;
 }
 
+// The end of the window that the first attempt which may have run has opened.
+std::optional<Time> Router::Impl::repeat_by(const Request& r) {
+  const auto first = std::ranges::find_if(r.attempts, &Attempt::may_have_run);
+  if (first == r.attempts.end() || r.cls.effect != Effect::keyed) return std::nullopt;
+  return first->sent + r.cls.repeat_window;
+}
+
 bool Router::Impl::send(Request& r, Engine& e, bool to_reader) {
   if (r.stage == Stage::over || r.out() || !usable(e, r) || now_ >= r.ask.deadline) return false;
   if (int(r.attempts.size()) >= s_.limits.max_attempts) return false;
@@ -47,7 +55,7 @@
   e.work += a.work;
   e.out += 1;
   if (!to_reader) e.held += footprint(r);
-  actions_.emplace_back(Send{r.ask.id, a.engine, Duration{0}});
+  actions_.emplace_back(Send{r.ask.id, a.engine, Duration{0}, repeat_by(r).value_or(0s)});
   e.kept.put(r.ask.prefix, r.ask.prefix_tokens);
   if (known_.cold(e)) e.cold_credit = cold_credit(e) - 1.0;
   e.cold_at = now_;
@@ -139,7 +147,7 @@
   e.kept.put(r.ask.prefix, r.ask.prefix_tokens);
 }
 
-void Router::Impl::follow_up(Request& r, const Attempt& a, const AttemptEnded& e) {
+void Router::Impl::follow_up(Request& r, Attempt& a, const AttemptEnded& e) {
   if (e.outcome == Outcome::state_held) {
     r.holder = a.engine;
     r.held_at = now_;
@@ -149,7 +157,7 @@
   }
   const bool proves_not_run =
       e.outcome == Outcome::busy || e.outcome == Outcome::not_connected || e.outcome == Outcome::skipped;
-  if (!a.reader && !proves_not_run) r.may_have_run = true;
+  if (!a.reader && !proves_not_run) r.may_have_run = a.may_have_run = true;
   r.tried.push_back(a.engine);
   if (e.outcome == Outcome::skipped || now_ + kReclaim >= r.ask.deadline ||
       (r.may_have_run && r.cls.effect == Effect::unsafe)) {
--- a/src/router/impl.hpp
+++ b/src/router/impl.hpp
@@ -65,13 +65,14 @@
   [[nodiscard]] bool affordable(const Engine& e, const Request& r) const;
   [[nodiscard]] static bool untried(const Engine& e, const Request& r);
   [[nodiscard]] bool repeat_allowed(const Engine& e, const Request& r) const;
+  [[nodiscard]] static std::optional<Time> repeat_by(const Request& r);
   bool send(Request& r, Engine& e, bool to_reader);
   void on(const StreamStarted& e);
   Attempt* find(RequestId id, int number);
   void on(const AttemptEnded& e);
   void settle(Engine& e, Request& r, const Attempt& a, const AttemptEnded& end, bool streamed);
   static void recount(Engine& e, const Request& r, const Attempt& a, Tokens found);
-  void follow_up(Request& r, const Attempt& a, const AttemptEnded& e);
+  void follow_up(Request& r, Attempt& a, const AttemptEnded& e);
   void on(const RequestGone& e);
 
   // ---- patience.cpp ----
--- a/src/router/request.hpp
+++ b/src/router/request.hpp
@@ -25,6 +25,7 @@
   bool out = true;
   bool cancelled = false;
   bool late = false;  // noted as taking too long
+  bool may_have_run = false;
 };
 
 struct Request {
--- a/src/router/tuned.hpp
+++ b/src/router/tuned.hpp
@@ -51,6 +51,7 @@
 constexpr double kAnswerShare = 0.25;  // of max_output, expected where no hint is given
 constexpr double kColdShare = 0.4;     // of the cold budget, used by all fronts together
 constexpr Duration kColdDraw = 1s;     // how long a request that waits stands by its draw
+constexpr Duration kRepeatMargin = 20ms;  // before a window ends: the bytes need time too
 constexpr double kRetryShare = 0.2;    // further attempts for each new request; bounds what trouble adds
 constexpr double kRetryLeast = 2.0;   // attempts saved up at most: what arrives in some seconds, but at least
 constexpr double kRetryBurst = 20.0;  //   this and at most that, for many fronts spend their savings at once
--- a/src/router/writer.cpp
+++ b/src/router/writer.cpp
@@ -14,7 +14,8 @@
     return known_.doubt(e, r.ask.request_class, usual_doubt) > kHopeless;
   };
   const bool some_work = std::ranges::any_of(known_.engines, [&](const auto& p) {
-    return !p.second.reads() && p.second.live() && untried(p.second, r) && !hopeless(p.second);
+    const Engine& e = p.second;
+    return !e.reads() && e.live() && untried(e, r) && repeat_allowed(e, r) && !hopeless(e);
   });
   if (some_work) std::erase_if(pool, [&](const Engine* e) { return hopeless(*e); });
   if (pool.empty()) return nullptr;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -191,6 +191,41 @@
   }
 }
 
+// Its second read went to the reader of the other zone: a copy of the request outside its group.
+TEST(Writing, WhatMayHaveRunIsReadAgainOnlyInItsGroupAndWindow) {
+  Settings s = plain_settings();
+  s.writers_read = false;
+  s.limits.max_attempts = 8;
+  for (Key session = 1; session <= 20; ++session) {
+    Front f(s);
+    f.arrive(1, 1, 3000, session);
+    EXPECT_EQ(std::get<Send>(f.last.front()).by, 0s);  // no window has opened
+    f.end(1, 0, *f.sent(), Outcome::state_held);
+    const EngineId writer = *f.sent();
+    const Time window = f.now + 3s;
+    f.run(100ms);
+    f.end(1, 1, writer, Outcome::reset);
+    ASSERT_EQ(f.sent(), writer);
+    EXPECT_EQ(std::get<Send>(f.last.front()).by, window);
+    f.end(1, 2, writer, Outcome::busy, 1);  // the state is gone: it is read anew
+    const EngineId reader = writer == kWriterA ? kReaderA : kReaderB;
+    ASSERT_EQ(f.sent(), reader);
+    f.now = window - 10ms;
+    f.end(1, 3, reader, Outcome::error);
+    EXPECT_FALSE(f.sent());
+    EXPECT_EQ(f.count<Fail>(), 1);
+  }
+}
+
+TEST(Writing, AnAttemptThatNeverRanNarrowsNoGroup) {
+  Front f(plain_settings(), {entry(kReaderA, 0, 0), entry(kWriterA, 1, 0), entry(kWriterB, 1, 1)});
+  f.arrive(1, 1);
+  f.end(1, 0, kReaderA, Outcome::state_held);
+  const EngineId first = *f.sent();
+  f.end(1, 1, first, Outcome::not_connected);
+  EXPECT_EQ(f.sent(), first == kWriterA ? kWriterB : kWriterA);
+}
+
 TEST(Writing, KeyedStaysInItsCell) {
   Front f;
   f.arrive(1, 1);
--- a/tests/rule_checker.hpp
+++ b/tests/rule_checker.hpp
@@ -158,7 +158,7 @@
       const bool copies = s_.limits.second_copies && (reader || cls(r).effect == Effect::safe);
       if (t.out && !copies) fault(a.id, "two attempts at once");
       const bool may_have_run = !t.reader && !t.proven_unrun;
-      if (reader || !may_have_run || cls(r).effect == Effect::safe) continue;
+      if (!may_have_run || cls(r).effect == Effect::safe) continue;
       if (cls(r).effect == Effect::unsafe) fault(a.id, "sent again though it may have run");
       const EngineEntry& first = list_[t.engine].entry;
       const bool same = cls(r).group == RepeatGroup::all ||
