Let go of states whose holder is cut off, by another instance and at writers cut off

Ruled out: the bound of 16 releases a box, descriptors (116 of 1,024), the module's order of Release and Send. Change: one that has not arrived after 60 ms, or failed, goes to other live instances in turn, while no attempt is out; a writer that got a state and was cut off without a word is told to let go as well. Beside it, found by reading: a repeat's window ends its sending, too (Send::by); the drain's grace is shortened by how late discovery may be; probes ask the same last-moment check; what comes after the rest was given up is refused at once. Tests: five in core_test.

--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -15,9 +15,13 @@
 constexpr Duration kDrainMargin = 100ms;  // before the end of the drain's grace: the bytes need time too
 constexpr Duration kLostStall = 3s;       // patience with a stream whose instance the list no longer knows
 constexpr Duration kReleaseAgain = 20ms;  // pause before a release that did not arrive is tried again
-constexpr Duration kReleaseFor = 60s;     // what an instance still holds by then it has let go of itself
-constexpr int kReleasesOut = 16;          // at one box, at the same time
-constexpr Duration kFullStay = 500ms;     // advice to a client refused by a full table
+// How long a release may be on its way before another instance gets it too: some round trips between zones.
+// What is held has 300 ms, and a box that was cut off takes no connection for 250.
+constexpr Duration kReleaseElsewhere = 60ms;
+constexpr std::size_t kReleaseMostTold = 6;  // others that get it; one of them can be reached, or none
+constexpr Duration kReleaseFor = 60s;        // what an instance still holds by then it has let go of itself
+constexpr int kReleasesOut = 16;             // at one box, at the same time
+constexpr Duration kFullStay = 500ms;        // advice to a client refused by a full table
 
 }  // namespace
 
@@ -44,9 +48,12 @@
   r.reply = std::move(reply);
   r.arrived = scheduler_.now();
   // Guards memory and sockets: each open request may hold a body and two connections.
-  if (requests_.size() >= settings_.max_requests) {
+  const bool full = requests_.size() >= settings_.max_requests;
+  // Once the rest has been given up there is no time left to serve what comes after it.
+  if (full || given_up_) {
     ++figures_.refused;
-    r.reply->refuse(ends(r, RequestRecord::Result::refused, Ending::Cause::table_full, kFullStay));
+    const Ending::Cause cause = full ? Ending::Cause::table_full : Ending::Cause::refused;
+    r.reply->refuse(ends(r, RequestRecord::Result::refused, cause, kFullStay));
     tell_end(r);
     return 0;
   }
@@ -87,6 +94,7 @@
 }
 
 void Conductor::abandon() {
+  given_up_ = true;
   for (auto& [id, r] : requests_) {
     if (!r->streaming && !r->resumed && !r->life.done()) r->inbox.push(Abandoned{});
   }
@@ -217,9 +225,14 @@
         const bool unsent = r.attempt->progress() <= Progress::unwritten;
         end = {unsent ? Outcome::not_connected : Outcome::timed_out, 0, {}, false};
         out = false;
+      } else if (std::holds_alternative<TooLate>(step) && r.attempt->progress() <= Progress::unwritten) {
+        // Its last byte would arrive outside the window in which the class may be repeated.
+        end = {Outcome::not_connected, 0, {}, false};
+        out = false;
       }
     }
     r.limit.reset();
+    r.too_late.reset();
     r.stall.reset();
     log_failure(r, *order, end, scheduler_.now() - sent);
     // Closed before anything else is sent: never two attempts out.
@@ -235,10 +248,12 @@
       if (end.outcome != Outcome::state_held) {
         if (const auto held = held_.find(r.id); held != held_.end()) held->second.at.erase(order->engine);
         // A read that was cut off may have ended well just then: its state would stay pinned there.
-        if (!never_ran || r.owes_release) release_at(r.ask.payload, order->engine);
+        if (!never_ran || r.owes_release) release_at(r.id, r.ask.payload, order->engine);
       }
     } else if (never_ran && r.owes_release) {
-      release_at(r.ask.payload, order->engine);
+      release_at(r.id, r.ask.payload, order->engine);
+    } else {
+      may_hold_still(r, *order, end);
     }
     r.owes_release = false;
     if (r.streaming) {
@@ -585,8 +600,9 @@
   if (reader) may_hold(r, order.engine);
   r.engine = order.engine;
   r.announced = false;
-  const auto may_write = [this, &r, reader, engine = order.engine] {
-    if (!may_send(engine)) return false;
+  if (order.by > 0us) r.too_late = scheduler_.at(order.by, [&r] { r.inbox.push(TooLate{}); });
+  const auto may_write = [this, &r, reader, engine = order.engine, by = order.by] {
+    if (!may_send(engine) || (by > 0us && scheduler_.now() >= by)) return false;
     // Whoever keeps account of what may have run has it on record before the first byte.
     if (!reader && !std::exchange(r.announced, true)) r.reply->sending();
     return true;
@@ -596,11 +612,13 @@
   return true;
 }
 
-// Nothing is first sent later than the drain's grace after it was told, connecting included.
+// Asked by every kind of send but a release, at the last moment before its first byte: nothing is first sent
+// later than the drain's grace after it was told, connecting included.
 bool Conductor::may_send(EngineId engine) const {
   const Fleet::Member* member = fleet_.find(engine);
   if (member == nullptr || member->out) return false;
-  const Duration grace = std::max<Duration>(settings_.module.rules.drain_grace - kDrainMargin, 0us);
+  const Duration grace =
+      std::max<Duration>(settings_.module.rules.drain_grace - kDrainMargin - settings_.news_late, 0us);
   return !member->told_off || scheduler_.now() - *member->told_off < grace;
 }
 
@@ -633,12 +651,12 @@
         if (held == held_.end()) {
           const auto streams = requests_.find(id);
           const bool elsewhere = streams == requests_.end() || streams->second->engine != writer;
-          if (answer != ClaimAnswer::not_held && elsewhere) release_at(payload, writer);
+          if (answer != ClaimAnswer::not_held && elsewhere) release_at(id, payload, writer);
           return;
         }
         --held->second.claims_out;
         if (held->second.let_go) {
-          release_at(payload, writer);
+          release_at(id, payload, writer);
           if (held->second.claims_out == 0) held_.erase(held);
           return;
         }
@@ -678,10 +696,12 @@
           const Fleet::Member* member = fleet_.find(a.engine);
           if (member == nullptr) return;
           const Time sent = scheduler_.now();
-          instances_.probe(member->target, [this, engine = a.engine, sent](const AttemptResult& result) {
-            const AttemptEnd end = judge(result);
-            post(eiderarch::ProbeEnded{engine, end.outcome, scheduler_.now() - sent, end.report});
-          });
+          instances_.probe(
+              member->target, [this, engine = a.engine] { return may_send(engine); },
+              [this, engine = a.engine, sent](const AttemptResult& result) {
+                const AttemptEnd end = judge(result);
+                post(eiderarch::ProbeEnded{engine, end.outcome, scheduler_.now() - sent, end.report});
+              });
         } else if constexpr (std::is_same_v<A, eiderarch::SetTimer>) {
           const std::uint64_t number = ++last_timer_;
           module_timers_[number] = scheduler_.at(a.at, [this, number, tag = a.tag] {
@@ -739,12 +759,24 @@
 void Conductor::release_all(RequestId id) {
   const auto it = held_.find(id);
   if (it == held_.end()) return;
-  for (const EngineId engine : std::exchange(it->second.at, {})) release_at(it->second.payload, engine);
+  for (const EngineId engine : std::exchange(it->second.at, {})) release_at(id, it->second.payload, engine);
   it->second.let_go = true;
   if (it->second.claims_out == 0) held_.erase(it);
 }
 
-void Conductor::release_at(const PayloadPtr& payload, EngineId engine) {
+// Its connection may have fallen silent: then it has not heard that it was cut off either, and keeps the
+// place and the state that it fetched. What proves that it holds nothing is its own word.
+void Conductor::may_hold_still(const Request& r, const eiderarch::Send& order, const AttemptEnd& end) {
+  const bool unheard =
+      end.outcome == Outcome::timed_out || end.outcome == Outcome::cancelled || end.outcome == Outcome::reset;
+  if (unheard && !r.streaming && end.answer == nullptr && held_.contains(r.id)) may_hold(r, order.engine);
+}
+
+bool Conductor::releasing() const {
+  return std::ranges::any_of(releases_, [](const auto& p) { return !p.second.taken; });
+}
+
+void Conductor::release_at(RequestId id, const PayloadPtr& payload, EngineId engine) {
   const Fleet::Member* member = fleet_.find(engine);
   if (member == nullptr) return;
   if (releases_.size() >= settings_.max_releases) {
@@ -752,9 +784,14 @@
     releases_.erase(releases_.begin());
   }
   const std::uint64_t number = ++last_release_;
-  releases_.emplace(
-      number,
-      Release{payload, engine, member->entry.started, scheduler_.now() + kReleaseFor, false, false, {}});
+  Release& release = releases_[number];
+  release.id = id;
+  release.payload = payload;
+  release.engine = engine;
+  release.started = member->entry.started;
+  release.until = scheduler_.now() + kReleaseFor;
+  release.elsewhere =
+      scheduler_.at(scheduler_.now() + kReleaseElsewhere, [this, number] { release_elsewhere(number); });
   try_release(number);
 }
 
@@ -790,9 +827,40 @@
       releases_.erase(now);
       return;
     }
-    now->second.refused = true;
-    now->second.again =
-        scheduler_.at(scheduler_.now() + kReleaseAgain, [this, number] { try_release(number); });
+    Release& again = now->second;
+    again.again = scheduler_.at(scheduler_.now() + kReleaseAgain, [this, number] { try_release(number); });
+    if (!std::exchange(again.refused, true)) release_elsewhere(number);
+  });
+}
+
+// Every instance takes a release, and lets go of what is held at any. A box that is cut off, or stops while
+// it holds something, can't be told by itself: seen as states pinned beside a release tried there in vain.
+void Conductor::release_elsewhere(std::uint64_t number) {
+  const auto it = releases_.find(number);
+  if (it == releases_.end() || it->second.taken || it->second.told.size() >= kReleaseMostTold) return;
+  Release& release = it->second;
+  release.elsewhere =
+      scheduler_.at(scheduler_.now() + kReleaseElsewhere, [this, number] { release_elsewhere(number); });
+  const Fleet::Member* holder = fleet_.find(release.engine);
+  if (holder == nullptr || holder->entry.state == eiderarch::EngineState::gone) return;
+  // While an attempt is out nothing counts as left behind, and it may be making a state anew.
+  const auto request = requests_.find(release.id);
+  if (request != requests_.end() && request->second->attempt) return;
+  const Fleet::Member* next = nullptr;  // in the own zone where one is left there, else drawn by the number
+  std::pair<bool, std::uint64_t> best;
+  for (const auto& [engine, member] : fleet_.members()) {
+    const bool live = member.entry.state == eiderarch::EngineState::live && !member.out;
+    if (!live || engine == release.engine || release.told.contains(engine)) continue;
+    const std::pair place{member.entry.zone == settings_.module.zone, engine * (2 * number + 1)};
+    if (next != nullptr && place <= best) continue;
+    next = &member;
+    best = place;
+  }
+  if (next == nullptr) return;
+  release.told.insert(next->entry.engine);
+  instances_.release(next->target, release.payload, [this, number](bool arrived) {
+    const auto now = releases_.find(number);
+    if (now != releases_.end() && arrived) now->second.taken = true;
   });
 }
 
--- a/src/core/conductor.hpp
+++ b/src/core/conductor.hpp
@@ -29,6 +29,8 @@
   // A stream this long without an event has lost its instance. Events come every few tokens; its client is to
   // know within 5 s.
   Duration stall_limit{4'000'000};
+  // By how much discovery's word may come late here while it counts as told already.
+  Duration news_late{0};
   std::size_t max_requests = 400;
   std::size_t max_releases = 2000;
 };
@@ -98,8 +100,8 @@
   [[nodiscard]] std::size_t listed() const;
   [[nodiscard]] std::size_t out_of_rotation() const;
 
-  // Gives up what has not begun to be answered, so that each client hears so and nothing stays held when this
-  // process is killed.
+  // Gives up what has not begun to be answered, and whatever still comes, so that each client hears so and
+  // nothing stays held when this process is killed.
   void abandon();
 
   // Offers each stream that runs; one that is taken (true) is over here. Returns how many were.
@@ -113,7 +115,8 @@
 
   [[nodiscard]] std::size_t open_requests() const { return requests_.size(); }
   [[nodiscard]] std::size_t most_requests() const { return settings_.max_requests; }
-  [[nodiscard]] bool releasing() const { return !releases_.empty(); }
+  // Whether something held has not been let go of yet, at any instance.
+  [[nodiscard]] bool releasing() const;
   [[nodiscard]] const Fleet& fleet() const { return fleet_; }
   [[nodiscard]] const Figures& figures() const { return figures_; }
   // Own attempts out at an instance.
@@ -129,6 +132,7 @@
   struct Deadline {};  // the client's wait for a first token is over
   struct Overdue {};   // and the module has not said a final word
   struct TimedOut {};  // the module's own limit on this attempt
+  struct TooLate {};   // to be written: the module's limit on when its last byte may leave
   struct Stalled {};
   struct CaughtUp {};  // the client has taken what it was given
   struct InstanceLost {};
@@ -136,7 +140,7 @@
   struct PassedOn {};   // another process goes on with its stream
   using Step = std::variant<eiderarch::Send, eiderarch::Cancel, eiderarch::Refuse, eiderarch::Fail,
                             eiderarch::ClaimWriter, Written, Data, AttemptResult, ClientGone, Deadline,
-                            Overdue, TimedOut, Stalled, CaughtUp, InstanceLost, Abandoned, PassedOn>;
+                            Overdue, TimedOut, TooLate, Stalled, CaughtUp, InstanceLost, Abandoned, PassedOn>;
 
   struct Request : AttemptEvents {
     RequestId id = 0;
@@ -144,7 +148,7 @@
     Ask ask;
     std::unique_ptr<ClientReply> reply;
     Inbox<Step> inbox;
-    std::unique_ptr<Timer> deadline, overdue, limit, stall;
+    std::unique_ptr<Timer> deadline, overdue, limit, too_late, stall;
     std::unique_ptr<Attempt> attempt;
     EngineId engine = 0;  // of the attempt that is out
     int attempts = 0;
@@ -178,13 +182,16 @@
     bool let_go = false;
   };
   struct Release {
+    RequestId id = 0;
     PayloadPtr payload;
     EngineId engine = 0;
     Time started{0};  // of the process that may hold it
     Time until{0};
     bool out = false;
-    bool refused = false;  // a try has not arrived
-    std::unique_ptr<Timer> again;
+    bool refused = false;     // a try has not arrived
+    bool taken = false;       // by another instance, which lets go of what is held at any
+    std::set<EngineId> told;  // others that were asked to
+    std::unique_ptr<Timer> again, elsewhere;
   };
 
   Task serve(Request& r);
@@ -204,6 +211,8 @@
   bool open(Request& r, const eiderarch::Send& order, bool reader);
   void claim(Request& r, EngineId writer);
   [[nodiscard]] bool may_send(EngineId engine) const;
+  // What a writer that was sent a state and did not say what became of it may hold.
+  void may_hold_still(const Request& r, const eiderarch::Send& order, const AttemptEnd& end);
   // The number of the last attempt, as the module counts.
   [[nodiscard]] static int number(const Request& r) { return r.attempts - r.attempts_before - 1; }
   // Its answer goes on elsewhere: from here on the module knows it by another name.
@@ -233,9 +242,10 @@
   void reap();
 
   void may_hold(const Request& r, EngineId engine);
-  void release_at(const PayloadPtr& payload, EngineId engine);
+  void release_at(RequestId id, const PayloadPtr& payload, EngineId engine);
   void release_all(RequestId id);
   void try_release(std::uint64_t number);
+  void release_elsewhere(std::uint64_t number);
 
   ConductorSettings settings_;
   Scheduler& scheduler_;
@@ -253,6 +263,7 @@
   std::map<RequestId, Held> held_;
   std::map<std::uint64_t, Release> releases_;
   std::uint64_t last_release_ = 0;
+  bool given_up_ = false;  // see abandon
   std::vector<eiderarch::Event> events_;
   bool flush_due_ = false;
   std::map<std::uint64_t, std::unique_ptr<Timer>> module_timers_;
--- a/src/net/appliance/box_watch.cpp
+++ b/src/net/appliance/box_watch.cpp
@@ -69,7 +69,8 @@
   for (const Box& box : boxes_) {
     ++asked_;
     const core::Target target{box.listed.entry.engine, box.listed.id, box.listed.address};
-    instances_.probe(target, [this, target](const core::AttemptResult& result) {
+    const auto may_write = [] { return true; };
+    instances_.probe(target, may_write, [this, target](const core::AttemptResult& result) {
       heard(target, result.verdict != core::Verdict::broken);
     });
   }
--- a/src/net/instances/instance_client.cpp
+++ b/src/net/instances/instance_client.cpp
@@ -349,10 +349,11 @@
       [done = std::move(done)](const Call& call, bool) { done(call.response().has_head()); });
 }
 
-void InstanceClient::probe(const core::Target& target, std::function<void(const AttemptResult&)> done) {
+void InstanceClient::probe(const core::Target& target, std::function<bool()> may_write,
+                           std::function<void(const AttemptResult&)> done) {
   call(
       target, call_text(target, "GET", dialect_ == Dialect::platform ? "/-/load" : "/v1/models"),
-      [] { return true; },
+      std::move(may_write),
       [done = std::move(done)](const Call& call, bool whole) {
         AttemptResult result;
         result.progress = call.progress();
--- a/src/net/instances/instance_client.hpp
+++ b/src/net/instances/instance_client.hpp
@@ -31,7 +31,8 @@
              std::function<void(core::ClaimAnswer)> done) override;
   void release(const core::Target& target, const core::PayloadPtr& payload,
                std::function<void(bool)> done) override;
-  void probe(const core::Target& target, std::function<void(const core::AttemptResult&)> done) override;
+  void probe(const core::Target& target, std::function<bool()> may_write,
+             std::function<void(const core::AttemptResult&)> done) override;
   void forget(const core::Target& target) override;
 
   [[nodiscard]] std::size_t connections() const { return pool_.open(); }
--- a/tests/core_rules_test.cpp
+++ b/tests/core_rules_test.cpp
@@ -93,7 +93,8 @@
       done(arrives);
     });
   }
-  void probe(const Target&, std::function<void(const AttemptResult&)> done) override {
+  void probe(const Target&, std::function<bool()>,
+             std::function<void(const AttemptResult&)> done) override {
     later(draw.time(1, 300), [this, done = std::move(done)] {
       AttemptResult result;
       result.verdict = draw.chance(0.8) ? Verdict::served : Verdict::broken;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -48,7 +48,7 @@
     log.push_back("release " + target.id);
     releases.push_back(std::move(done));
   }
-  void probe(const Target&, std::function<void(const AttemptResult&)>) override {}
+  void probe(const Target&, std::function<bool()>, std::function<void(const AttemptResult&)>) override {}
   void forget(const Target&) override {}
   void subscribe() override {}
   void fetch() override {}
@@ -101,11 +101,13 @@
   Log answers;
   std::unique_ptr<Conductor> conductor;
 
-  explicit World(std::size_t most_requests = 10) {
+  explicit World(std::size_t most_requests = 10, Duration news_late = 0s) {
     ConductorSettings s;
-    s.module.classes.resize(2);
+    s.module.classes.resize(3);
     s.module.classes[0].effect = eiderarch::Effect::safe;
     s.module.classes[1].effect = eiderarch::Effect::unsafe;
+    s.module.classes[2].effect = eiderarch::Effect::keyed;
+    s.module.classes[2].repeat_window = 500ms;
     for (auto& c : s.module.classes) {
       c.aim = 2s;
       c.deadline = 8s;
@@ -120,6 +122,7 @@
     s.module.writers_read = true;
     s.module.resume = true;
     s.max_requests = most_requests;
+    s.news_late = news_late;
     conductor =
         std::make_unique<Conductor>(s, time, instances, instances, [](const char*, const std::string&) {});
   }
@@ -187,6 +190,91 @@
   CHECK_FALSE(w.instances.out->may_write());
 }
 
+// While discovery was silent the agent had the drain already: its grace runs from then, not from our hearing.
+TEST_CASE("Core: what discovery told late leaves that much less of the drain's grace") {
+  World w(10, 600ms);
+  w.list("w", 2);
+  w.ask(0, 100);
+  w.list("w", 2, eiderarch::EngineState::draining);
+  CHECK(w.instances.out->may_write());
+  w.time.pass(350ms);
+  CHECK_FALSE(w.instances.out->may_write());
+}
+
+TEST_CASE("Core: a repeat is not begun after its class's window, nor its last byte sent after that") {
+  World w;
+  w.list("a", 2);
+  w.list("b", 2);
+  w.ask(2, 100);
+  w.instances.written();
+  w.instances.ended(Verdict::broken, Progress::written);
+  w.time.settle();
+  REQUIRE(w.instances.out != nullptr);
+  CHECK(w.instances.out->may_write());
+  const auto late = w.instances.out->may_write;
+  w.instances.out->at = Progress::unwritten;  // the connection took a part of it
+  w.time.pass(510ms);
+  CHECK_FALSE(late());
+  CHECK(w.instances.log == Log{"open a", "close a", "open b", "close b"});
+  w.time.pass(1s);
+  CHECK(w.answers == Log{"refused"});  // of group `all`, where a repeat does no harm
+}
+
+// The writer's connection had fallen silent: it heard of no end, and kept what it had fetched.
+TEST_CASE("Core: a writer that was handed a state and cut off without a word is told to let go of it") {
+  World w;
+  w.list("r", 0);
+  w.list("w", 1);
+  w.ask(1, kLongRead, 3s);
+  w.instances.written();
+  w.instances.claims.at(0)(ClaimAnswer::not_held);
+  w.instances.ended(Verdict::state_held);
+  w.time.settle();
+  w.instances.written();
+  w.time.pass(3s + 20ms);
+  CHECK(w.answers == Log{"failed"});
+  CHECK(std::ranges::count(w.instances.log, "release r") == 1);
+  CHECK(std::ranges::count(w.instances.log, "release w") == 1);
+}
+
+TEST_CASE("Core: a release that does not arrive goes to other instances, until one has taken it") {
+  World w;
+  w.list("r", 0);
+  w.list("x", 0, eiderarch::EngineState::draining);
+  w.list("w", 1);
+  w.list("v", 1);
+  const RequestId id = w.ask(0, 3000);
+  REQUIRE(w.instances.out != nullptr);
+  w.instances.written();
+  w.conductor->client_gone(id);
+  w.time.settle();
+  REQUIRE(std::ranges::count(w.instances.log, "release r") == 1);
+  w.instances.log.clear();
+  std::exchange(w.instances.releases, {});  // neither arrives nor fails: the box is cut off
+  w.time.pass(70ms);
+  REQUIRE(w.instances.log.size() == 1);
+  const std::string first = w.instances.log[0];
+  CHECK((first == "release v" || first == "release w"));
+  CHECK(w.conductor->releasing());
+  w.instances.releases.at(0)(false);
+  w.time.pass(70ms);
+  REQUIRE(w.instances.log.size() == 2);
+  CHECK(w.instances.log[1] == (first == "release v" ? "release w" : "release v"));
+  w.instances.releases.at(1)(true);
+  CHECK_FALSE(w.conductor->releasing());
+  w.time.pass(1s);
+  CHECK(w.instances.log.size() == 2);
+}
+
+TEST_CASE("Core: what comes after the rest has been given up is refused at once, and sent nowhere") {
+  World w;
+  w.list("w", 2);
+  w.conductor->abandon();
+  CHECK(w.ask(1, 100) == 0);
+  CHECK(w.answers == Log{"refused"});
+  CHECK(w.instances.log.empty());
+}
+
 TEST_CASE("Core: read, claim, handover, stream; what is held is not released once the stream has begun") {
   World w;
   w.list("r", 0);
