Decide what crosses a close, a shutdown, a silent list and a late second answer

Each test forces its moment; failing before means against the program of the commit before. - Closing: an ended connection was closed outright where nothing lay unread, so bytes that came after that reset it and destroyed the rest of its answer (http_connection.cpp, cut_). Now this side's end is told, what comes is read and dropped within a bound. - A client that left behind 64 KiB of further bytes was not noticed, its request sent on later: reading rested at its watermark. - Shutdown: connections in the kernel's queue were reset with the listener; new ones without their request yet were closed at once; a second SIGTERM ended all that was in flight. It changes nothing now; a second SIGINT refuses what has not begun. - Instances: a second answer some ms late was taken for the next request's on a kept connection, which now rests 50 ms between two; a refusal whose body never ends held its request to the deadline, now 0.5 s. - List: an indented one was not understood at all, for each line was taken for an object. A watch that worked and fell silent is open again within 1.5 s of that being noticed, also in a fleet of 300 that must ask (6 to 9 s before, where 6 s count as told). After SIGHUP nothing that the old discovery refused counts any more. Tests: 11 stories; nine fail before. Two passed at once: a request that meets the end of a resting connection is sent nowhere, and events pass within 0.3 s under a flood of clients that send much and go. Two older stories wait 60 ms between requests that are to share a connection: what they assert is unchanged.

--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -127,7 +127,9 @@
     listed = true;
     if (waits) loop.stop();
   });
-  conductor.emplace(core_settings(config.module, bounds), loop, instances, discovery, log_line);
+  core::ConductorSettings settings = core_settings(config.module, bounds);
+  settings.news_late = net::DiscoveryWatch::most_late();
+  conductor.emplace(std::move(settings), loop, instances, discovery, log_line);
   conductor->observe(request_log(config.classes, config.tenants));
   net::PlatformFront front(*conductor, loop, config.classes, config.tenants);
   std::optional<Operations> operations;
--- a/src/app/wind_down.cpp
+++ b/src/app/wind_down.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr core::Duration kLookEvery = 20ms;
+constexpr core::Duration kSilent = 100ms;     // a connection accepted last has its request on the way
+constexpr core::Duration kLastWords = 300ms;  // for the answers and releases of what a second word gives up
 
 void mask_reloads(int how) {
   sigset_t signals;
@@ -37,8 +39,9 @@
 void WindDown::run() {
   std::signal(SIGPIPE, SIG_IGN);
   std::function<void()> told = [this] { begin(); };
+  std::function<void()> urged = [this] { hurry(); };
   const net::EventPtr term = loop_.on_signal(SIGTERM, &told);
-  const net::EventPtr interrupt = loop_.on_signal(SIGINT, &told);
+  const net::EventPtr interrupt = loop_.on_signal(SIGINT, &urged);
   const net::EventPtr hang_up = loop_.on_signal(SIGHUP, &reload_);
   mask_reloads(SIG_UNBLOCK);
   loop_.run();
@@ -51,7 +54,8 @@
 }
 
 void WindDown::begin() {
-  if (ending_) return loop_.stop();  // told twice: now
+  // Supervisors may say it twice, to the process and to its group; what was taken is still owed its answer.
+  if (ending_) return;
   ending_ = true;
   log::write("stop", "told to end; open requests: " + std::to_string(conductor_.open_requests()));
   for (net::HttpServer* server : servers_) server->wind_down();
@@ -63,11 +67,18 @@
   });
 }
 
+// Somebody at a terminal who asks again wants an end at once: what has not begun to be answered hears so.
+void WindDown::hurry() {
+  if (!ending_) return begin();
+  conductor_.abandon();
+  last_ = loop_.at(loop_.now() + kLastWords, [this] { loop_.stop(); });
+}
+
 // Idle connections are closed now that no new one comes; the rest end with their answers.
 void WindDown::look() {
   std::size_t connections = 0;
   for (net::HttpServer* server : servers_) {
-    server->close_idle();
+    server->close_idle(kSilent);
     connections += server->connections();
   }
   if (connections == 0 && conductor_.open_requests() == 0 && !conductor_.releasing()) return loop_.stop();
--- a/src/app/wind_down.hpp
+++ b/src/app/wind_down.hpp
@@ -1,5 +1,5 @@
-// Runs the loop until SIGTERM or SIGINT and then until all that was taken is answered. SIGHUP reloads, at any
-// time.
+// Runs the loop until SIGTERM or SIGINT and then until all that was taken is answered; a further SIGINT gives
+// up what has not begun. SIGHUP reloads, at any time.
 #pragma once
 
 #include <functional>
@@ -29,6 +29,7 @@
 
  private:
   void begin();
+  void hurry();
   void look();
 
   net::Loop& loop_;
--- a/src/net/http/http_connection.cpp
+++ b/src/net/http/http_connection.cpp
@@ -30,6 +30,8 @@
 constexpr timeval kWriteTime{10, 0};  // for a client that reads nothing of its answer
 // How long the end of a client is awaited after a last answer, see ServerLimits::most_thrown_away.
 constexpr core::Duration kLinger = 500ms;
+constexpr core::Duration kLingerAtEnd =
+    100ms;  // the same where this process is about to end; some round trips
 
 const char* reason(int status) {
   switch (status) {
@@ -135,7 +137,8 @@
     case Phase::idle:
       return age(now) >= kIdleTime;
     case Phase::ending:
-      return age(now) >= kLinger && evbuffer_get_length(bufferevent_get_output(stream_.get())) == 0;
+      return age(now) >= (server_.winding_down_ ? kLingerAtEnd : kLinger) &&
+             evbuffer_get_length(bufferevent_get_output(stream_.get())) == 0;
     case Phase::answering:
       break;
   }
@@ -157,9 +160,12 @@
 
 void HttpConnection::time_out() {
   if (phase_ == Phase::reading) return refuse(408);
-  server_.close(*this);
+  if (phase_ == Phase::ending) return server_.close(*this);
+  end_resting();
 }
 
+void HttpConnection::end_resting() { finish(); }
+
 void HttpConnection::read() {
   evbuffer* input = bufferevent_get_input(stream_.get());
   if (phase_ == Phase::ending) {
@@ -172,8 +178,17 @@
     if (thrown_away_ > limits.most_thrown_away) bufferevent_disable(stream_.get(), EV_READ);
     return;
   }
-  // What comes while an answer is pending waits its turn, up to the watermark.
-  if (phase_ == Phase::answering || evbuffer_get_length(input) == 0) return;
+  // What comes while an answer is pending waits its turn, up to the watermark. There, reading would rest, and
+  // the end of its client stay unseen behind these bytes: they are dropped, and this answer is the last.
+  if (phase_ == Phase::answering) {
+    if (evbuffer_get_length(input) < kMostAhead) return;
+    last_ = true;
+    thrown_away_ += evbuffer_get_length(input);
+    evbuffer_drain(input, evbuffer_get_length(input));
+    if (thrown_away_ > server_.limits_.most_thrown_away) server_.close(*this);
+    return;
+  }
+  if (evbuffer_get_length(input) == 0) return;
   if (phase_ == Phase::idle) enter(Phase::reading);
   phase_ = Phase::reading;
   const std::size_t size = evbuffer_get_length(input);
@@ -217,7 +232,7 @@
   }
   head(status, more, "Content-Length: " + std::to_string(text.size()) + "\r\n");
   if (parser_.method() != "HEAD") write(text);
-  answered(false);
+  answered();
 }
 
 void HttpConnection::head(int status, const Headers& headers, const std::string& framing) {
@@ -231,11 +246,11 @@
   bufferevent_write(stream_.get(), bytes.data(), bytes.size());
 }
 
-void HttpConnection::answered(bool whole) {
+void HttpConnection::answered() {
   give_back(counted_);
   // A stream that began before the end was told has no `Connection: close` in its head. Kept, its connection
   // would bring a next request that there is no time left for.
-  if (last_ || server_.winding_down_) return finish(whole);
+  if (last_ || server_.winding_down_) return finish();
   enter(Phase::idle);
   // The next request may have come already; it is read from the loop, for the handler may be what is calling.
   if (evbuffer_get_length(bufferevent_get_input(stream_.get())) > 0) {
@@ -248,14 +263,14 @@
   counted_ -= bytes;
 }
 
-// The last answer: once it is out this closes, but where more of the request may come, the end of this side
-// is told and the client's awaited for a moment.
-void HttpConnection::finish(bool whole) {
+// Once all is out the end of this side is told, and the client's awaited for a moment: a close over bytes
+// that have come meanwhile would reset the connection, and destroy what is still on its way.
+void HttpConnection::finish() {
   enter(Phase::ending);
   ended_ = since_;
   if (server_.throw_away_rate_) bufferevent_set_rate_limit(stream_.get(), server_.throw_away_rate_.get());
-  if (whole && quiet()) cut_ = true;
   if (evbuffer_get_length(bufferevent_get_output(stream_.get())) == 0) {
+    if (!reset_) shutdown(bufferevent_getfd(stream_.get()), SHUT_WR);
     bufferevent_trigger(stream_.get(), EV_WRITE, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
   }
   evbuffer* input = bufferevent_get_input(stream_.get());
@@ -268,7 +283,7 @@
     return room();
   }
   if (phase_ != Phase::ending) return;
-  if (cut_) return server_.close(*this);
+  if (reset_) return server_.close(*this);
   shutdown(bufferevent_getfd(stream_.get()), SHUT_WR);
   since_ = server_.loop_.now();
 }
@@ -346,9 +361,10 @@
 void Incoming::abort() {
   if (state_ != State::streaming) return;
   HttpConnection& connection = leave();
-  connection.cut_ = connection.last_ = true;
+  connection.last_ = true;
   // Without chunks an ordinary end would look like a whole answer.
   if (!connection.chunked_) {
+    connection.reset_ = true;
     const linger reset{1, 0};
     setsockopt(bufferevent_getfd(connection.stream_.get()), SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
   }
--- a/src/net/http/http_connection.hpp
+++ b/src/net/http/http_connection.hpp
@@ -26,6 +26,9 @@
   // Bytes that nobody has read yet may be a request, which is still to be answered.
   [[nodiscard]] bool quiet() const;
   void time_out();
+  // Ends a connection on which no request is pending. What crosses this is read and forgotten, never handled:
+  // its client sends it once more elsewhere.
+  void end_resting();
   // In the middle of a stream that another process began, of which the client has not been sent `unsent` yet.
   void go_on(bool chunked, bool last, std::string_view unsent);
 
@@ -38,9 +41,9 @@
   void refuse(int status, Headers more = {});
   void head(int status, const Headers& headers, const std::string& framing);
   void write(std::string_view bytes);
-  // After an answer: the next request, or the end. `whole`: its request has been read to its last byte.
-  void answered(bool whole = true);
-  void finish(bool whole);
+  // After an answer: the next request, or the end.
+  void answered();
+  void finish();
   void enter(Phase phase);
   void give_back(std::size_t bytes);
 
@@ -54,7 +57,7 @@
   core::Time since_;  // of the phase; reading counts from accept on a new connection
   bool last_ = false;
   bool chunked_ = false, bodyless_ = false;
-  bool cut_ = false;  // to be cut off once what was given is out
+  bool reset_ = false;  // to be reset once what was given is out
   std::size_t thrown_away_ = 0;
   core::Time ended_{0};  // when it entered its last phase
 };
--- a/src/net/http/http_server.cpp
+++ b/src/net/http/http_server.cpp
@@ -1,5 +1,7 @@
 #include "net/http/http_server.hpp"
 
+#include <sys/socket.h>
+
 #include <chrono>
 #include <iterator>
 #include <vector>
@@ -34,7 +36,11 @@
 
 HttpServer::HttpServer(Loop& loop, const Place& place, Handler handler, ServerLimits limits,
                        ServerHooks hooks)
-    : loop_(loop), handler_(std::move(handler)), limits_(limits), hooks_(std::move(hooks)) {
+    : loop_(loop),
+      handler_(std::move(handler)),
+      limits_(limits),
+      hooks_(std::move(hooks)),
+      own_socket_(std::holds_alternative<std::string>(place)) {
   if (limits_.throw_away_rate > 0) {
     const std::size_t rate = limits_.throw_away_rate;
     throw_away_rate_.reset(
@@ -111,7 +117,17 @@
   return text;
 }
 
-void HttpServer::stop_listening() { listener_.reset(); }
+// A connection that the kernel has taken for us already would be reset with the listener: a client that came
+// in the last moment gets its answer.
+void HttpServer::stop_listening() {
+  while (listener_ && own_socket_ && connections_.size() < limits_.connections) {
+    const int socket =
+        accept4(evconnlistener_get_fd(listener_.get()), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (socket < 0) break;
+    accept(socket);
+  }
+  listener_.reset();
+}
 
 void HttpServer::close_idle(core::Duration silent) {
   const core::Time now = loop_.now();
@@ -121,7 +137,7 @@
                        (connection->phase() == Phase::silent && connection->age(now) >= silent);
     if (rests && connection->quiet()) idle.push_back(connection);
   }
-  for (HttpConnection* connection : idle) close(*connection);
+  for (HttpConnection* connection : idle) connection->end_resting();
 }
 
 void HttpServer::close(HttpConnection& connection) { connections_.erase(&connection); }
--- a/src/net/http/http_server.hpp
+++ b/src/net/http/http_server.hpp
@@ -110,12 +110,13 @@
 
   // From now on each answer asks its client to close the connection.
   void wind_down(bool on = true) { winding_down_ = on; }
+  // What waits to be accepted is accepted first; at a socket that was passed it is the next holder's.
   void stop_listening();
   // A client's connection in the middle of a stream that another process began; takes the descriptor. Null
   // where the state can't be read.
   [[nodiscard]] std::unique_ptr<Incoming> take_over(const core::Passed& passed);
   [[nodiscard]] bool winding_down() const { return winding_down_; }
-  // Closes the connections on which no request is pending, those that have not brought any yet only once they
+  // Ends the connections on which no request is pending, those that have not brought any yet only once they
   // are `silent` old.
   void close_idle(core::Duration silent = core::Duration{0});
   [[nodiscard]] std::size_t connections() const { return connections_.size(); }
@@ -136,6 +137,7 @@
   ServerLimits limits_;
   ServerHooks hooks_;
   std::unique_ptr<ev_token_bucket_cfg, Freed<ev_token_bucket_cfg_free>> throw_away_rate_;
+  bool own_socket_;
   bool winding_down_ = false;
   std::size_t body_bytes_ = 0;
   std::map<HttpConnection*, std::unique_ptr<HttpConnection>> connections_;  // from accept on
--- a/src/net/instances/instance_client.cpp
+++ b/src/net/instances/instance_client.cpp
@@ -351,20 +351,18 @@
 
 void InstanceClient::probe(const core::Target& target, std::function<bool()> may_write,
                            std::function<void(const AttemptResult&)> done) {
-  call(
-      target, call_text(target, "GET", dialect_ == Dialect::platform ? "/-/load" : "/v1/models"),
-      std::move(may_write),
-      [done = std::move(done)](const Call& call, bool whole) {
-        AttemptResult result;
-        result.progress = call.progress();
-        const int status = whole ? call.response().status() : 0;
-        result.verdict = status == 200   ? Verdict::served
-                         : status == 503 ? Verdict::turned_away
-                         : status == 0   ? Verdict::broken
-                                         : Verdict::error;
-        result.report = sse::parse_report(call.body());
-        done(result);
-      });
+  call(target, call_text(target, "GET", dialect_ == Dialect::platform ? "/-/load" : "/v1/models"),
+       std::move(may_write), [done = std::move(done)](const Call& call, bool whole) {
+         AttemptResult result;
+         result.progress = call.progress();
+         const int status = whole ? call.response().status() : 0;
+         result.verdict = status == 200   ? Verdict::served
+                          : status == 503 ? Verdict::turned_away
+                          : status == 0   ? Verdict::broken
+                                          : Verdict::error;
+         result.report = sse::parse_report(call.body());
+         done(result);
+       });
 }
 
 void InstanceClient::forget(const core::Target& target) { pool_.drop(target.address); }
--- a/src/net/instances/instance_pool.cpp
+++ b/src/net/instances/instance_pool.cpp
@@ -5,12 +5,14 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <chrono>
 #include <cmath>
 #include <stdexcept>
 #include <utility>
 
 namespace bankmux::net {
 
+using namespace std::chrono_literals;
 using core::Progress;
 
 namespace {
@@ -20,6 +22,12 @@
 // the deadline.
 constexpr core::Duration kHeadTime{500'000};
 
+// A box that answers twice does so within some milliseconds: the second answer, read after the next request
+// has gone out there, would be taken for that one's. For so long a kept connection gets none.
+constexpr core::Duration kSettle = 50ms;
+// From an answer's head to its end where it is no stream: nobody waits for the rest of a refusal.
+constexpr core::Duration kRestTime{500'000};
+
 // Nothing unread and no end: what the server closed meanwhile must not get a request.
 bool still_quiet(bufferevent* connection) {
   char byte = 0;
@@ -167,8 +175,11 @@
   std::string body;
   const std::size_t used = parser_.feed(bytes, body);
   if (parser_.state() == ResponseParser::State::bad) return end(false);
-  if (!parser_.has_head() && parser_.within_head()) {
-    if (!limit_) limit_ = pool_.loop_.at(pool_.loop_.now() + kHeadTime, [this] { end(false); });
+  const bool head = parser_.has_head();
+  if (head ? parser_.status() != 200 : parser_.within_head()) {
+    if (!limit_ || (head && progress_ < Progress::head)) {
+      limit_ = pool_.loop_.at(pool_.loop_.now() + (head ? kRestTime : kHeadTime), [this] { end(false); });
+    }
   } else {
     limit_.reset();
   }
@@ -239,9 +250,16 @@
 
 BufferEventPtr InstancePool::take_idle(const std::string& address) {
   const auto it = idle_.find(address);
-  while (it != idle_.end() && !it->second.empty()) {
-    BufferEventPtr connection = std::move(it->second.front().connection);
-    it->second.pop_front();
+  if (it == idle_.end()) return nullptr;
+  std::list<Idle>& list = it->second;
+  const core::Time settled = loop_.now() - kSettle;
+  for (auto idle = list.begin(); idle != list.end();) {
+    if (idle->since > settled) {
+      ++idle;
+      continue;
+    }
+    BufferEventPtr connection = std::move(idle->connection);
+    idle = list.erase(idle);
     bufferevent_set_timeouts(connection.get(), nullptr, nullptr);
     if (still_quiet(connection.get())) return connection;
     --open_;
@@ -281,7 +299,7 @@
 
 void InstancePool::keep(const std::string& address, BufferEventPtr connection) {
   std::list<Idle>& list = idle_[address];
-  Idle& idle = list.emplace_front(Idle{this, address, std::move(connection)});
+  Idle& idle = list.emplace_front(Idle{this, address, std::move(connection), loop_.now()});
   const auto us = limits_.idle.count();
   const timeval time{static_cast<time_t>(us / 1'000'000), static_cast<suseconds_t>(us % 1'000'000)};
   bufferevent_set_timeouts(idle.connection.get(), &time, nullptr);
--- a/src/net/instances/instance_pool.hpp
+++ b/src/net/instances/instance_pool.hpp
@@ -93,6 +93,7 @@
     InstancePool* pool = nullptr;
     std::string address;
     BufferEventPtr connection;
+    core::Time since{0};
   };
 
   // Whether kept connections have lately lived to their next answer, well enough for such a request.
--- a/src/net/platform/discovery_watch.cpp
+++ b/src/net/platform/discovery_watch.cpp
@@ -1,7 +1,9 @@
 #include "net/platform/discovery_watch.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <random>
+#include <utility>
 
 #include "codec.hpp"
 #include "config/address.hpp"
@@ -19,6 +21,9 @@
 // answered.
 constexpr core::Duration kFirstAnswer = 400ms;
 constexpr core::Duration kAfterNonsense = 1s;
+// A watch that worked and fell silent is noticed after 3 s, and what it misses counts as told after 6: all of
+// a fleet call again within this, however slowly they would if refused.
+constexpr core::Duration kReopen = 1500ms;
 constexpr std::size_t kMostLine = 4 * 1024 * 1024;
 
 }  // namespace
@@ -38,6 +43,8 @@
 
 DiscoveryWatch::~DiscoveryWatch() = default;
 
+core::Duration DiscoveryWatch::most_late() { return kFirstAnswer + backoff_at_hand().most; }
+
 void DiscoveryWatch::open() {
   const auto at = config::Address::parse(address_);
   pending_.clear();
@@ -78,8 +85,11 @@
   silent_.reset();
   ++failures_;
   const Backoff backoff = shared_ ? backoff_shared_ : backoff_at_hand();
-  const core::Duration wait =
-      backoff.wait(failures_, std::uniform_real_distribution<double>(0.0, 1.0)(draw_));
+  const double unit = std::uniform_real_distribution<double>(0.0, 1.0)(draw_);
+  core::Duration wait = backoff.wait(failures_, unit);
+  if (std::exchange(heard_, false)) {
+    wait = std::min(wait, core::Duration(static_cast<core::Duration::rep>(unit * double(kReopen.count()))));
+  }
   // A line each time the count doubles: an operator sees a discovery that refuses, and the log no storm.
   if ((failures_ & (failures_ - 1)) == 0) {
     log::write("discovery", "no watch after " + std::to_string(failures_) + " calls in a row; the next in " +
@@ -95,6 +105,8 @@
 
 void DiscoveryWatch::move(const std::string& address) {
   address_ = address;
+  shared_ = config_.module.list_mode == eiderarch::ListMode::on_request;
+  failures_ = 0;
   // Another discovery counts its versions by itself: changes after one of the old one's mean nothing there.
   whole_ = true;
   version_ = 0;
@@ -115,13 +127,8 @@
   if (!heard_ && failures_ > 1)
     log::write("discovery", "a watch again after " + std::to_string(failures_) + " calls");
   heard_ = true;  // an empty line too says that the watch works
-  pending_ += bytes;
-  std::size_t begin = 0;
-  for (std::size_t end = 0; (end = pending_.find('\n', begin)) != std::string::npos; begin = end + 1) {
-    if (end > begin + 1) line(pending_.substr(begin, end - begin));
-  }
-  pending_.erase(0, begin);
-  if (pending_.size() > kMostLine) {
+  pending_.feed(bytes, [this](const std::string& text) { line(text); });
+  if (pending_.open() > kMostLine) {
     log::write("discovery", "a line without an end");
     pending_.clear();
     again(kAfterNonsense);
--- a/src/net/platform/discovery_watch.hpp
+++ b/src/net/platform/discovery_watch.hpp
@@ -10,6 +10,7 @@
 #include "config/config.hpp"
 #include "net/loop/loop.hpp"
 #include "net/platform/backoff.hpp"
+#include "net/platform/list_splitter.hpp"
 
 namespace bankmux::net {
 
@@ -20,6 +21,8 @@
   ~DiscoveryWatch() override;
 
   void open();
+  // By how much what an agent has may come late here: it was silent, and a call from then has to be given up.
+  [[nodiscard]] static core::Duration most_late();
   // Leaves the present address for this one and takes its whole list; the old list serves until it is there.
   void move(const std::string& address);
   void subscribe() override {}  // the watch is always open
@@ -46,7 +49,7 @@
   Backoff backoff_shared_;
   std::mt19937_64 draw_;
   std::unique_ptr<evhttp_connection, Freed<evhttp_connection_free>> connection_;
-  std::string pending_;
+  ListSplitter pending_;
   std::unique_ptr<core::Timer> retry_, silent_;
 };
 
--- /dev/null
+++ b/tests/stories/crossing_stories.cpp
@@ -0,0 +1,273 @@
+// Moments in which two events cross, one story for each row of docs/crossings.md that sockets can show.
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <thread>
+
+#include "platform_world.hpp"
+
+using namespace stories;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string kChat = "POST /v1/chat/completions?v=2";
+const std::string kReady = "GET /-/ready HTTP/1.1\r\nConnection: close\r\n\r\n";
+
+bool has(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+
+// Answers every request on each connection with one event, and notes what came.
+Peer::Script serving(Record& seen) {
+  return [&seen](Wire& wire) {
+    while (const auto request = wire.receive()) {
+      const auto txn = request->headers.find("x-txn");
+      seen.add(txn != request->headers.end() ? txn->second : request->first);
+      wire.send(events({"[DONE]"}));
+    }
+  };
+}
+
+// Sends the signal, and waits until the program has taken it: it says then that it is not ready.
+void tell_end(Platform& platform, int signal) {
+  platform.program().send_signal(signal);
+  for (int i = 0; i < 500; ++i) {
+    if (platform.ask(kReady).starts_with("HTTP/1.1 503")) return;
+  }
+  FAIL("not told");
+}
+
+std::string kept(std::string request) { return request.erase(request.find("Connection: close\r\n"), 19); }
+
+}  // namespace
+
+// ---- Clients that leave ----
+
+// Behind 64 KiB nobody read on, so the end was not seen, and the request went out long after its client.
+TEST_CASE("Crossing: a client that leaves while its request waits is noticed, and nothing is sent for it") {
+  for (const char* how : {"closes", "half-closes", "closes behind much else"}) {
+    CAPTURE(how);
+    Record seen;
+    Peer box(serving(seen));
+    Platform platform({});
+    const auto client = platform.connect();
+    // `possible` needs a server: one is listed that takes no connection, and is set aside.
+    platform.push(Platform::line(2, false, {{"gone", "mixto", "127.0.0.1:1"}}));
+    client->send(client_request("left", "consulta", 9000, 100));
+    if (has(how, "much")) client->send(std::string(200 * 1024, 'x'));
+    std::this_thread::sleep_for(100ms);  // it waits
+    has(how, "half") ? client->half_close() : client->close();
+    std::this_thread::sleep_for(100ms);
+    platform.push(Platform::line(3, false, {{"w", "mixto", box.address()}}));
+    CHECK(platform.ask(client_request("stays", "consulta", 5000, 100)).starts_with("HTTP/1.1 200"));
+    std::this_thread::sleep_for(500ms);
+    CHECK(seen.all() == std::vector<std::string>{"stays"});
+  }
+}
+
+// ---- Closing ----
+
+// Closed at once, the rest of the answer was lost: what the client had sent meanwhile reset the connection.
+TEST_CASE("Crossing: bytes that come while the last answer is on its way do not destroy it") {
+  Record seen;
+  const std::string text(200 * 1024, 'y');
+  Peer box([&](Wire& wire) {
+    if (!wire.receive()) return;
+    wire.send(stream_head() + chunk("data: " + text + "\n\n") + "0\r\n\r\n");
+    seen.add("written");
+  });
+  Platform platform({{"w", "mixto", box.address()}});
+  const auto client = platform.connect(4096);  // the answer stays in the program's part of the connection
+  client->send(client_request("slow", "consulta", 5000, 100));
+  REQUIRE(seen.wait_for("written"));
+  for (int i = 0; i < 3; ++i) CHECK(platform.ask(kReady).starts_with("HTTP/1.1 200"));  // the loop went round
+  client->send("one more line\r\n");
+  std::this_thread::sleep_for(20ms);
+  const std::string answer = client->receive_all();
+  CHECK(answer.size() > text.size());
+  CHECK(answer.ends_with("0\r\n\r\n"));
+}
+
+TEST_CASE("Crossing: an answer that comes a second time, late, is not taken for the next request's") {
+  Record seen;
+  Peer box([&](Wire& wire) {
+    std::optional<std::chrono::steady_clock::time_point> answered;
+    while (const auto request = wire.receive()) {
+      // The second answer is written only now, but within the time in which boxes do that.
+      if (answered && std::chrono::steady_clock::now() - *answered < 45ms) {
+        seen.add("crossed");
+        wire.send(events({"stray"}));
+      }
+      wire.send(events({request->headers.at("x-txn"), "[DONE]"}));
+      answered = std::chrono::steady_clock::now();
+    }
+  });
+  Platform platform({{"w", "mixto", box.address()}});
+  for (int i = 0; i < 10; ++i) {
+    const std::string name = "r" + std::to_string(i);
+    const std::string answer = platform.ask(client_request(name, "consulta", 5000, 100));
+    CHECK(has(answer, "data: " + name + "\n"));
+    CHECK_FALSE(has(answer, "stray"));
+  }
+  CHECK(seen.count("crossed") == 0);
+}
+
+TEST_CASE("Crossing: a refusal whose rest never comes ends its attempt soon, and another instance serves") {
+  Record seen;
+  Peer stuck([&](Wire& wire) {
+    if (!wire.receive()) return;
+    seen.add("refused");
+    wire.send("HTTP/1.1 503 Service Unavailable\r\nX-Turned-Away: 1\r\nContent-Length: 100\r\n\r\nno");
+    if (wire.closed_within(4000)) seen.add("closed");
+  });
+  Platform platform({{"a", "mixto", stuck.address()}});
+  const auto client = platform.connect();
+  client->send(client_request("moves", "ajuste", 8000, 100));
+  REQUIRE(seen.wait_for("refused"));
+  Peer well(serving(seen));
+  platform.push(Platform::line(2, false, {{"b", "mixto", well.address()}}));
+  CHECK(seen.wait_for("moves", 1, 2500));
+  CHECK(client->receive_all().starts_with("HTTP/1.1 200"));
+  CHECK(seen.wait_for("closed"));
+}
+
+// ---- Shutdown ----
+
+TEST_CASE("Crossing: a second SIGTERM ends nothing that was taken") {
+  Record seen;
+  Peer box([&](Wire& wire) {
+    if (!wire.receive()) return;
+    seen.add("taken");
+    if (!seen.wait_for("told twice")) return;
+    wire.send(events({"[DONE]"}));
+  });
+  Platform platform({{"w", "mixto", box.address()}});
+  const auto client = platform.connect();
+  client->send(client_request("held", "ajuste", 5000, 100));
+  REQUIRE(seen.wait_for("taken"));
+  tell_end(platform, SIGTERM);
+  platform.program().terminate();
+  for (int i = 0; i < 3; ++i) CHECK(platform.ask(kReady).starts_with("HTTP/1.1 503"));  // the loop went round
+  seen.add("told twice");
+  CHECK(client->receive_all().ends_with("0\r\n\r\n"));
+  CHECK(platform.program().wait() == 0);
+}
+
+TEST_CASE("Crossing: asked again at a terminal, it refuses what has not begun and ends") {
+  Record seen;
+  Peer box([&](Wire& wire) {
+    if (!wire.receive()) return;
+    seen.add("taken");
+    (void)wire.closed_within(9000);
+  });
+  Platform platform({{"w", "mixto", box.address()}});
+  const auto client = platform.connect();
+  client->send(client_request("held", "consulta", 9000, 100));
+  REQUIRE(seen.wait_for("taken"));
+  tell_end(platform, SIGINT);
+  const auto asked = std::chrono::steady_clock::now();
+  platform.program().send_signal(SIGINT);
+  CHECK(client->receive_all().starts_with("HTTP/1.1 503"));
+  CHECK(platform.program().wait() == 0);
+  CHECK(std::chrono::steady_clock::now() - asked < 1500ms);
+}
+
+TEST_CASE("Crossing: what lies in the listener's queue when accepting ends is answered") {
+  Record seen;
+  Peer box(serving(seen));
+  Platform platform({{"w", "mixto", box.address()}});
+  tell_end(platform, SIGTERM);
+  platform.program().send_signal(SIGSTOP);
+  std::vector<std::unique_ptr<Wire>> late;
+  for (int i = 0; i < 40; ++i) {
+    late.push_back(platform.connect());
+    late.back()->send(client_request("late" + std::to_string(i), "consulta", 5000, 100));
+  }
+  std::this_thread::sleep_for(600ms);  // past the time in which it takes connections
+  platform.program().send_signal(SIGCONT);
+  int served = 0;
+  for (const auto& client : late) served += client->receive_all().ends_with("0\r\n\r\n") ? 1 : 0;
+  CHECK(served == 40);
+  CHECK(platform.program().wait() == 0);
+}
+
+TEST_CASE("Crossing: a request that meets the end of a resting connection is sent nowhere") {
+  Record seen;
+  Peer box(serving(seen));
+  Platform platform({{"w", "mixto", box.address()}});
+  const auto resting = platform.connect();
+  resting->send(kept(client_request("first", "consulta", 5000, 100)));
+  (void)resting->receive_until("0\r\n\r\n");
+  platform.program().terminate();
+  REQUIRE(resting->closed_within(3000));
+  resting->send(client_request("crossing", "consulta", 5000, 100));
+  CHECK(resting->receive_all().empty());
+  CHECK(platform.program().wait() == 0);
+  CHECK(seen.all() == std::vector<std::string>{"first"});
+}
+
+// ---- The list ----
+
+TEST_CASE("Crossing: a list that comes indented, in pieces, counts like any other") {
+  Record seen;
+  Peer one(serving(seen)), two(serving(seen));
+  Platform platform({{"w1", "mixto", "127.0.0.1:1"}});
+  REQUIRE(platform.watches.wait_for("GET /api/targets?follow=1&since=1 HTTP/1.1"));
+  const auto indented = [](const std::string& line) { return nlohmann::json::parse(line).dump(2); };
+  platform.push(indented(Platform::line(2, true, {{"w2", "mixto", one.address()}})));
+  CHECK(platform.ask(client_request("a", "consulta", 5000, 100)).starts_with("HTTP/1.1 200"));
+  platform.push("{\n  \"version\": 3, \"servers\": [");  // cut short; the next counts all the same
+  platform.push(indented(Platform::line(4, true, {{"w3", "mixto", two.address()}})));
+  REQUIRE(platform.watches.wait_for("GET /api/targets?follow=1&since=4 HTTP/1.1"));
+  CHECK(platform.ask(client_request("b", "consulta", 5000, 100)).starts_with("HTTP/1.1 200"));
+  CHECK(seen.all() == std::vector<std::string>{"a", "b"});
+}
+
+// What it misses counts as told 6 s after it fell silent; of a fleet of 300 each came back after 6 to 9 s.
+TEST_CASE("Crossing: a watch that falls silent is open again within 5 s, however large the fleet that asks") {
+  nlohmann::json site = site_settings();
+  site["nInstances"] = 300;
+  site["registryMode"] = "on_request";
+  Platform platform({}, site);
+  platform.push(Platform::line(2, true, {}));
+  REQUIRE(platform.watches.wait_for("GET /api/targets?follow=1&since=1 HTTP/1.1", 1, 5000));
+  CHECK(platform.watches.wait_for("GET /api/targets?follow=1&since=2 HTTP/1.1", 1, 5000));
+}
+
+// ---- Streams ----
+
+TEST_CASE("Crossing: each event passes within 0.3 s, cut in two or not, while others flood and leave") {
+  Record seen;
+  constexpr int kEvents = 20;
+  Peer box([&](Wire& wire) {
+    if (!wire.receive()) return;
+    wire.send(stream_head());
+    for (int i = 0; i < kEvents; ++i) {
+      const std::string text = chunk("data: " + std::to_string(i) + "\n\n");
+      wire.send(text.substr(0, 2));  // in the line that says its size
+      wire.send(text.substr(2));
+      if (!seen.wait_for("has " + std::to_string(i))) return;
+    }
+    wire.send("0\r\n\r\n");
+  });
+  Platform platform({{"w", "mixto", box.address()}});
+  std::atomic<bool> ending{false};
+  std::thread flood([&] {
+    for (int i = 0; i < 300 && !ending; ++i) {
+      const auto wire = platform.connect();
+      if (wire) wire->send("POST /v1 HTTP/1.1\r\nContent-Length: 60000\r\n\r\n" + std::string(50000, 'z'));
+    }
+  });
+  const auto client = platform.connect();
+  client->send(client_request("stream", "consulta", 5000, 100));
+  (void)client->receive_until("data: 0\n\n");
+  for (int i = 0; i + 1 < kEvents; ++i) {
+    const auto asked = std::chrono::steady_clock::now();
+    seen.add("has " + std::to_string(i));
+    CHECK(has(client->receive_until("data: " + std::to_string(i + 1) + "\n\n"), "data: "));
+    CHECK(std::chrono::steady_clock::now() - asked < 300ms);
+  }
+  seen.add("has " + std::to_string(kEvents - 1));
+  CHECK(client->receive_all().ends_with("0\r\n\r\n"));
+  ending = true;
+  flood.join();
+}
--- a/tests/stories/peers.cpp
+++ b/tests/stories/peers.cpp
@@ -54,8 +54,9 @@
 
 }  // namespace
 
-std::unique_ptr<Wire> Wire::to(const std::string& where) {
+std::unique_ptr<Wire> Wire::to(const std::string& where, int receive_buffer) {
   const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (receive_buffer > 0) setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
   const sockaddr_in address = socket_address(where);
   if (connect(socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
     ::close(socket);
@@ -139,6 +140,8 @@
   if (socket_ >= 0) ::close(std::exchange(socket_, -1));
 }
 
+void Wire::half_close() const { shutdown(socket_, SHUT_WR); }
+
 void Wire::interrupt() {
   const std::lock_guard lock(closing_);
   if (socket_ >= 0) shutdown(socket_, SHUT_RDWR);
--- a/tests/stories/peers.hpp
+++ b/tests/stories/peers.hpp
@@ -27,7 +27,7 @@
 class Wire {
  public:
   explicit Wire(int socket) : socket_(socket) {}
-  static std::unique_ptr<Wire> to(const std::string& address);
+  static std::unique_ptr<Wire> to(const std::string& address, int receive_buffer = 0);
   ~Wire() { close(); }
   Wire(const Wire&) = delete;
   Wire& operator=(const Wire&) = delete;
@@ -42,8 +42,9 @@
   // Whether the other side closes within the time.
   [[nodiscard]] bool closed_within(int ms) const;
   void close();
-  void reset();      // so that the other side sees a reset
-  void interrupt();  // ends all waiting, from any thread
+  void reset();             // so that the other side sees a reset
+  void half_close() const;  // this side says no more, and reads on
+  void interrupt();         // ends all waiting, from any thread
 
  private:
   bool more();
--- a/tests/stories/platform_stories.cpp
+++ b/tests/stories/platform_stories.cpp
@@ -25,6 +25,9 @@
   };
 }
 
+// After which a connection that was kept carries another request.
+constexpr std::chrono::milliseconds kSettled{60};
+
 const std::string kChat = "POST /v1/chat/completions?v=2";
 
 }  // namespace
@@ -124,6 +127,7 @@
   }));
   Platform platform({{"w", "mixto", writer.address()}});
   CHECK(platform.ask(client_request("t3", "ajuste", 5000, 100)).starts_with("HTTP/1.1 200"));
+  std::this_thread::sleep_for(kSettled);
   CHECK(platform.ask(client_request("t4", "ajuste", 5000, 100)).starts_with("HTTP/1.1 502"));
   CHECK(seen.count(kChat) == 2);
 }
@@ -490,6 +494,7 @@
   for (int i = 0; i < 2; ++i) {
     CHECK(platform.ask(client_request("c" + std::to_string(i), "consulta", 5000, 100))
               .starts_with("HTTP/1.1 200"));
+    std::this_thread::sleep_for(kSettled);
   }
   CHECK(seen.count("broke") == 1);
   for (int i = 0; i < 4; ++i) {
--- a/tests/stories/platform_world.hpp
+++ b/tests/stories/platform_world.hpp
@@ -34,7 +34,9 @@
   void reload(const std::string& content) const;
   [[nodiscard]] const nlohmann::json& config() const { return config_; }
 
-  [[nodiscard]] std::unique_ptr<Wire> connect() const { return Wire::to(listen_); }
+  [[nodiscard]] std::unique_ptr<Wire> connect(int receive_buffer = 0) const {
+    return Wire::to(listen_, receive_buffer);
+  }
   // Sends one request and gives the whole answer as it came.
   [[nodiscard]] std::string ask(const std::string& request) const;
   [[nodiscard]] const std::string& address() const { return listen_; }
