--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -14,6 +14,7 @@
 
 constexpr Duration kStep = 10ms;
 constexpr Duration kGivenUp = 6s;
+constexpr Tokens kPrompt = 4000;
 
 class Fleet {
  public:
@@ -49,6 +50,14 @@
     return double(on_time_ - well_before) / double(std::max(1, arrived_ - before));
   }
   [[nodiscard]] const std::set<Duration>& advice() const { return advice_; }
+  // From now on one session in ten has prompts of this length.
+  void lengthen(Tokens prompt) { long_prompt_ = prompt; }
+  // Answers of one session, in time or late, of what its clients asked, repeats not counted.
+  struct Share {
+    int asked = 0, answered = 0;
+  };
+  [[nodiscard]] const std::map<Key, Share>& sessions() const { return sessions_; }
+  static bool is_long(Key session) { return session % 10 == 0; }
 
  private:
   struct OneFront {
@@ -84,7 +93,7 @@
     k.ask.id = next_++;
     k.ask.session = session;
     k.ask.prefix = 1000 + session % 12;
-    k.ask.prompt_tokens = 4000;
+    k.ask.prompt_tokens = is_long(session) ? long_prompt_ : kPrompt;
     k.ask.prefix_tokens = 2000;
     k.ask.max_output = 200;
     k.ask.deadline = now_ + kGivenUp;
@@ -104,7 +113,9 @@
   void step(double speed) {
     for (due_ += rate_ * double(kStep.count()) / 1e6; due_ >= 1.0; due_ -= 1.0) {
       ++arrived_;
-      ask(1 + rng_() % 240, now_, false);
+      const Key session = 1 + rng_() % 240;
+      ++sessions_[session].asked;
+      ask(session, now_, false);
     }
     while (!again_.empty() && again_.begin()->first <= now_) {
       const auto [session, first] = again_.begin()->second;
@@ -120,6 +131,7 @@
       Known& k = it->second;
       k.over = true;
       on_time_ += now_ - k.first <= 1200ms;
+      ++sessions_[k.ask.session].answered;
       fronts_[k.front].events.push_back(StreamStarted{id, k.attempts - 1, engine, 50ms});
       end(k, k.attempts - 1, engine, now_ - 50ms, Outcome::served, 0);
     }
@@ -179,11 +191,11 @@
     }
     Reader& reader = readers_[send.engine];
     if (reader.jobs.size() >= 30) return end(k, attempt, send.engine, now_, Outcome::busy, 0);
-    Job job{k.front, send.id, attempt, now_, 4000.0, 0};
+    Job job{k.front, send.id, attempt, now_, double(k.ask.prompt_tokens), 0};
     for (const Key key : {k.ask.session, k.ask.prefix}) {
       const auto it = std::find(reader.kept.begin(), reader.kept.end(), key);
       if (it == reader.kept.end()) continue;
-      job.found = std::max<Tokens>(job.found, key == k.ask.session ? 3600 : 2000);
+      job.found = std::max<Tokens>(job.found, key == k.ask.session ? k.ask.prompt_tokens - 400 : 2000);
       reader.kept.erase(it);
     }
     job.left -= double(job.found);
@@ -213,6 +225,8 @@
   std::multimap<Time, std::pair<RequestId, EngineId>> streams_;
   std::multimap<Time, std::pair<Key, Time>> again_;
   std::set<Duration> advice_;
+  Tokens long_prompt_ = kPrompt;
+  std::map<Key, Share> sessions_;
 };
 
 class Jam : public testing::TestWithParam<int> {};
@@ -234,5 +248,30 @@
 
 INSTANTIATE_TEST_SUITE_P(Fronts, Jam, testing::Values(2, 150));
 
+class QuietDay : public testing::TestWithParam<int> {};
+
+// A third of what the readers bear arrives. A prompt of four times the length is answered as well as others,
+// and nobody is refused throughout.
+TEST_P(QuietDay, ServesLongPromptsAndEverySession) {
+  Fleet fleet(std::uint32_t(GetParam()), 8, 40.0);
+  fleet.lengthen(4 * kPrompt);
+  fleet.run(60s, 1.0);
+  Fleet::Share all, long_ones;
+  for (const auto& [session, share] : fleet.sessions()) {
+    EXPECT_TRUE(share.answered > 0 || share.asked < 3) << "session " << session << ", asked " << share.asked;
+    for (Fleet::Share* part : {&all, Fleet::is_long(session) ? &long_ones : nullptr}) {
+      if (part == nullptr) continue;
+      part->asked += share.asked;
+      part->answered += share.answered;
+    }
+  }
+  ASSERT_GT(long_ones.asked, 100);
+  const double usual = double(all.answered) / all.asked;
+  EXPECT_GE(usual, 0.9);
+  EXPECT_GE(double(long_ones.answered) / long_ones.asked, usual * 2.0 / 3.0);
+}
+
+INSTANTIATE_TEST_SUITE_P(Fronts, QuietDay, testing::Values(2, 150));
+
 }  // namespace
 }  // namespace eiderarch::test
