Count a fleet's first refused call after a working watch as the first, not the second

Found by reading: of 300 conductors whose watches end together most are refused once at the reopening within 1.5 s; with the end itself counted as a failure their next call came after 6 to 12 s instead of 3 to 6. An end of a watch that brought lines is none.

--- a/src/net/platform/discovery_watch.cpp
+++ b/src/net/platform/discovery_watch.cpp
@@ -74,24 +74,23 @@
   if (!shared_) silent_ = loop_.at(loop_.now() + kFirstAnswer, [this] { failed(); });
 }
 
-// A watch that brought lines had worked; one that brought none, refused or broken, counts as a failure.
 void DiscoveryWatch::ended(evhttp_request* answer) {
   if (answer != nullptr && evhttp_request_get_response_code(answer) >= 400) shared_ = true;
-  if (heard_) failures_ = 0;
   failed();
 }
 
+// A watch that brought lines had worked, and its end is no failure; one that brought none, refused or broken,
+// is. So the first refusal after an end that a whole fleet saw is not taken for the second.
 void DiscoveryWatch::failed() {
   silent_.reset();
-  ++failures_;
+  const bool worked = std::exchange(heard_, false);
+  failures_ = worked ? 0 : failures_ + 1;
   const Backoff backoff = shared_ ? backoff_shared_ : backoff_at_hand();
   const double unit = std::uniform_real_distribution<double>(0.0, 1.0)(draw_);
-  core::Duration wait = backoff.wait(failures_, unit);
-  if (std::exchange(heard_, false)) {
-    wait = std::min(wait, core::Duration(static_cast<core::Duration::rep>(unit * double(kReopen.count()))));
-  }
+  core::Duration wait = backoff.wait(std::max(1, failures_), unit);
+  if (worked) wait = std::min(wait, kReopen * static_cast<core::Duration::rep>(unit * 1000.0) / 1000);
   // A line each time the count doubles: an operator sees a discovery that refuses, and the log no storm.
-  if ((failures_ & (failures_ - 1)) == 0) {
+  if (failures_ > 0 && (failures_ & (failures_ - 1)) == 0) {
     log::write("discovery", "no watch after " + std::to_string(failures_) + " calls in a row; the next in " +
                                 std::to_string(wait.count() / 1000) + " ms");
   }
