Rest only those connections whose last answer may come twice, and take no 200 but a stream

At fault: instance_pool.cpp, keep() did not know what the connection had carried. Change: only a request's answer is waited for; what follows a call needs no rest, since a 200 that is no stream of events is no longer handed to a client of the platform. Test: a 200 that is no stream; the story of the late second answer as before.

--- a/src/net/instances/instance_client.cpp
+++ b/src/net/instances/instance_client.cpp
@@ -126,6 +126,7 @@
         events_(events),
         dialect_(Dialect::platform),
         streamed_(true),
+        taken_over_(true),
         most_body_(kMostBody),
         scanner_(std::move(open)),
         exchange_(pool, address, descriptor, place, *this) {}
@@ -210,7 +211,9 @@
   // A stream where a whole answer was asked for, or the reverse.
   [[nodiscard]] bool wrong_form() const {
     const ResponseParser& response = exchange_.response();
-    return dialect_ == Dialect::openai && (streamed_ ? is_json(response) : is_stream(response));
+    // The protocol's one form of a 200; another process has looked at that of a stream which it passed on.
+    if (dialect_ == Dialect::platform) return !taken_over_ && !is_stream(response);
+    return streamed_ ? is_json(response) : is_stream(response);
   }
   // What the head says is final, even if its body breaks off; a stream and a read must come whole.
   [[nodiscard]] Verdict verdict(bool whole) const {
@@ -218,7 +221,7 @@
     if (!response.has_head()) return Verdict::broken;
     const int status = response.status();
     if (status == 200 && dialect_ == Dialect::openai) return chat_verdict(whole);
-    if (status == 200) return !whole || scanner_.failed() ? Verdict::broken : Verdict::served;
+    if (status == 200) return !whole || wrong_form() || scanner_.failed() ? Verdict::broken : Verdict::served;
     // Only this word proves that nothing ran; a bare 503 may come from something in between.
     const bool away = response.header("X-Turned-Away") == "1";
     if (away && (status == 503 || status == 504)) return Verdict::turned_away;
@@ -247,6 +250,7 @@
   core::AttemptEvents& events_;
   Dialect dialect_;
   bool streamed_;
+  bool taken_over_ = false;
   std::size_t most_body_;
   bool too_long_ = false;
   bool begun_ = false, over_ = false;
--- a/src/net/instances/instance_pool.cpp
+++ b/src/net/instances/instance_pool.cpp
@@ -22,8 +22,9 @@
 // the deadline.
 constexpr core::Duration kHeadTime{500'000};
 
-// A box that answers twice does so within some milliseconds: the second answer, read after the next request
-// has gone out there, would be taken for that one's. For so long a kept connection gets none.
+// A box that answers a request twice does so within some milliseconds: the second answer, read after the next
+// request has gone out there, would be taken for that one's. For so long a kept connection gets none. Calls
+// without a body are followed at once: what they are answered is no stream, and taken for none.
 constexpr core::Duration kSettle = 50ms;
 // From an answer's head to its end where it is no stream: nobody waits for the rest of a refusal.
 constexpr core::Duration kRestTime{500'000};
@@ -52,6 +53,7 @@
       head_(std::move(head)),
       body_(std::move(body)),
       events_(events) {
+  settles_ = body_ != nullptr;
   if (pool_.trusts_kept(repeatable)) connection_ = pool_.take_idle(address_);
   reused_ = connection_ != nullptr;
   if (!reused_) connection_ = pool_.connect(address_);
@@ -71,6 +73,7 @@
       address_(std::move(address)),
       events_(events),
       connection_(bufferevent_socket_new(pool.loop_.base(), descriptor, BEV_OPT_CLOSE_ON_FREE)),
+      settles_(true),
       heard_(true),
       progress_(Progress::streaming) {
   if (!connection_) {
@@ -199,7 +202,7 @@
   }
   if (parser_.state() != ResponseParser::State::done) return;
   if (pool_.trusts_kept(true) && parser_.keep_alive() && used == bytes.size() && !early) {
-    pool_.keep(address_, std::move(connection_));
+    pool_.keep(address_, std::move(connection_), pool_.loop_.now() + (settles_ ? kSettle : 0s));
   }
   end(true);
 }
@@ -252,9 +255,9 @@
   const auto it = idle_.find(address);
   if (it == idle_.end()) return nullptr;
   std::list<Idle>& list = it->second;
-  const core::Time settled = loop_.now() - kSettle;
+  const core::Time now = loop_.now();
   for (auto idle = list.begin(); idle != list.end();) {
-    if (idle->since > settled) {
+    if (idle->settled > now) {
       ++idle;
       continue;
     }
@@ -297,9 +300,9 @@
   return connection;
 }
 
-void InstancePool::keep(const std::string& address, BufferEventPtr connection) {
+void InstancePool::keep(const std::string& address, BufferEventPtr connection, core::Time settled) {
   std::list<Idle>& list = idle_[address];
-  Idle& idle = list.emplace_front(Idle{this, address, std::move(connection), loop_.now()});
+  Idle& idle = list.emplace_front(Idle{this, address, std::move(connection), settled});
   const auto us = limits_.idle.count();
   const timeval time{static_cast<time_t>(us / 1'000'000), static_cast<suseconds_t>(us % 1'000'000)};
   bufferevent_set_timeouts(idle.connection.get(), &time, nullptr);
--- a/src/net/instances/instance_pool.hpp
+++ b/src/net/instances/instance_pool.hpp
@@ -70,6 +70,7 @@
   BufferEventPtr connection_;
   std::unique_ptr<core::Timer> limit_;
   ResponseParser parser_;
+  bool settles_ = false;  // its answer may come a second time
   bool reused_ = false;
   bool heard_ = false;  // any byte of a response
   core::Progress progress_ = core::Progress::not_connected;
@@ -93,7 +94,7 @@
     InstancePool* pool = nullptr;
     std::string address;
     BufferEventPtr connection;
-    core::Time since{0};
+    core::Time settled{0};  // from then on another request may use it
   };
 
   // Whether kept connections have lately lived to their next answer, well enough for such a request.
@@ -101,7 +102,7 @@
   void note_kept(bool lived);
   BufferEventPtr take_idle(const std::string& address);
   BufferEventPtr connect(const std::string& address);
-  void keep(const std::string& address, BufferEventPtr connection);
+  void keep(const std::string& address, BufferEventPtr connection, core::Time settled);
   static void closed_idle(Idle* idle);
 
   Loop& loop_;
--- a/tests/stories/crossing_stories.cpp
+++ b/tests/stories/crossing_stories.cpp
@@ -111,6 +111,21 @@
   CHECK(seen.count("crossed") == 0);
 }
 
+// A probe's or a place's second answer, as it would look to an attempt on the connection that they used.
+TEST_CASE("Crossing: a 200 that is no stream of events is nobody's answer") {
+  Record seen;
+  Peer box([&](Wire& wire) {
+    if (!wire.receive()) return;
+    seen.add("asked");
+    wire.send(simple("200 OK", "{\"x1\":3}", "Content-Type: application/json\r\n"));
+  });
+  Platform platform({{"w", "mixto", box.address()}});
+  const std::string answer = platform.ask(client_request("odd", "ajuste", 1500, 100));
+  CHECK(answer.starts_with("HTTP/1.1 502"));
+  CHECK_FALSE(has(answer, "x1"));
+  CHECK(seen.count("asked") == 1);
+}
+
 TEST_CASE("Crossing: a refusal whose rest never comes ends its attempt soon, and another instance serves") {
   Record seen;
   Peer stuck([&](Wire& wire) {
