Rest kept connections after streams alone; a writer that answers like a reader has failed

At fault: instance_pool.cpp; what waits for a jammed reader goes there in the moment that it answers, on that connection, and opened a new one instead, which costs the reader a handshake. Beside it, by reading: conductor.cpp took a writer's 202 for a state held, and an ajuste that may have run was sent again. Test: the writer that answers like a reader; the stories of late second answers as before.

--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -239,6 +239,8 @@
     r.attempt.reset();
     if (std::exchange(r.paced, false)) silence_.ended(r.engine);
 
+    // Only a read leaves a state: a writer that says so has not answered, and may have run it.
+    if (!reader && end.outcome == Outcome::state_held) end.outcome = Outcome::error;
     const bool never_ran = end.outcome == Outcome::busy || end.outcome == Outcome::not_connected ||
                            end.outcome == Outcome::skipped;
     r.last = end.outcome;
--- a/src/net/instances/instance_pool.cpp
+++ b/src/net/instances/instance_pool.cpp
@@ -22,9 +22,10 @@
 // the deadline.
 constexpr core::Duration kHeadTime{500'000};
 
-// A box that answers a request twice does so within some milliseconds: the second answer, read after the next
-// request has gone out there, would be taken for that one's. For so long a kept connection gets none. Calls
-// without a body are followed at once: what they are answered is no stream, and taken for none.
+// A box that answers twice does so within some milliseconds: a second stream, read after the next request has
+// gone out there, would be taken for that one's. For so long a kept connection gets none. What is answered
+// with no stream is followed at once, for it can be taken for none, and new connections cost jammed readers
+// dear.
 constexpr core::Duration kSettle = 50ms;
 // From an answer's head to its end where it is no stream: nobody waits for the rest of a refusal.
 constexpr core::Duration kRestTime{500'000};
@@ -202,7 +203,8 @@
   }
   if (parser_.state() != ResponseParser::State::done) return;
   if (pool_.trusts_kept(true) && parser_.keep_alive() && used == bytes.size() && !early) {
-    pool_.keep(address_, std::move(connection_), pool_.loop_.now() + (settles_ ? kSettle : 0s));
+    pool_.keep(address_, std::move(connection_),
+               pool_.loop_.now() + (parser_.status() == 200 && settles_ ? kSettle : 0s));
   }
   end(true);
 }
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -237,6 +237,19 @@
   CHECK(std::ranges::count(w.instances.log, "release w") == 1);
 }
 
+// Taken for a read that ended well, it was handed on: an ajuste that may have run went out again.
+TEST_CASE("Core: a writer that answers like a reader has failed, and an ajuste goes nowhere else") {
+  World w;
+  w.list("w", 2);
+  w.list("v", 2);
+  w.ask(1, 100);
+  w.instances.written();
+  w.instances.ended(Verdict::state_held);
+  w.time.pass(1s);
+  CHECK(w.answers == Log{"failed"});
+  CHECK(std::ranges::count(w.instances.log, "open w") + std::ranges::count(w.instances.log, "open v") == 1);
+}
+
 TEST_CASE("Core: a release that does not arrive goes to other instances, until one has taken it") {
   World w;
   w.list("r", 0);
