--- a/test.sh
+++ b/test.sh
@@ -4,4 +4,7 @@
 cd "$(dirname "$0")"
 cmake -S . -B build-test -DEIDERARCH_TESTS=ON -DEIDERARCH_STRICT=ON
 cmake --build build-test -j "$(nproc)"
-ctest --test-dir build-test --output-on-failure -j "$(nproc)"
+# Stories of several processes keep leases in real time: starved of processors beside all others, an owner loses
+# its lease by right. They run after the rest, two at a time.
+ctest --test-dir build-test --output-on-failure -j "$(nproc)" -E '^Fleet: '
+ctest --test-dir build-test --output-on-failure -j 2 -R '^Fleet: '
