--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -225,9 +225,9 @@
   World w;
   w.list("r", 0);
   w.list("w", 1);
-  w.ask(1, kLongRead, 3s);
+  w.ask(1, 3000, 3s);
   w.instances.written();
-  w.instances.claims.at(0)(ClaimAnswer::not_held);
+  REQUIRE(w.instances.claims.empty());  // a place asked for would be let go of in any case
   w.instances.ended(Verdict::state_held);
   w.time.settle();
   w.instances.written();
