--- a/tests/stories/crossing_stories.cpp
+++ b/tests/stories/crossing_stories.cpp
@@ -286,3 +286,55 @@
   ending = true;
   flood.join();
 }
+
+// ---- Other settings ----
+
+TEST_CASE(
+    "Crossing: settings that are missing, zero or very short are served, by whatever effect a class has") {
+  Record seen;
+  Peer box(serving(seen));
+  const auto site = [](const std::string& pointer, const nlohmann::json& value) {
+    nlohmann::json settings = site_settings();
+    settings[nlohmann::json::json_pointer(pointer)] = value;
+    return settings;
+  };
+  std::vector<nlohmann::json> sites;
+  for (const char* zero : {"/rules/drainGraceS", "/rules/fallS", "/rules/coldS", "/familyInfo/releaseWithinS",
+                           "/categories/0/windowS", "/policyLimits/maxRetryAfterS"}) {
+    sites.push_back(site(zero, 0.0));
+  }
+  sites.push_back(site("/categories/0/deadlineS", 0.05));
+  sites.push_back(site("/policyLimits/maxAttempts", 1));
+  for (const char* effect : {"deduplicated", "at_most_once"}) {
+    for (const char* group : {"all", "zone", "cell"}) {
+      nlohmann::json settings = site("/categories/0/effect", effect);
+      settings["categories"][0]["group"] = group;
+      settings["categories"][0]["windowS"] = 0.01;
+      sites.push_back(settings);
+    }
+  }
+  for (const char* optional :
+       {"cancel", "connIdleS", "connectTimeoutS", "maxRetryAfterS", "mayProbe", "retryAfter"}) {
+    nlohmann::json settings = site_settings();
+    settings["policyLimits"].erase(optional);
+    sites.push_back(settings);
+  }
+  for (const char* optional : {"report", "registryMode", "weights"}) {
+    nlohmann::json settings = site_settings();
+    settings.erase(optional);
+    sites.push_back(settings);
+  }
+  nlohmann::json refused = Platform({}).config();
+  refused["settings"] = site("/categories/0/targetS", 0.0);  // in no time nothing can be wanted
+  const std::string file = temporary_file(refused.dump());
+  Program check({"check-config"}, {{"PROXY_CONFIG", file}, {"PROXY_DISCOVERY", refused["discovery"]}});
+  CHECK(check.wait() == 2);
+  CHECK(has(check.output(), "targetS"));
+  for (std::size_t i = 0; i < sites.size(); ++i) {
+    CAPTURE(sites[i].dump());
+    Platform platform({{"w", "mixto", box.address()}}, sites[i]);
+    const std::string name = "o" + std::to_string(i);
+    CHECK(platform.ask(client_request(name, "consulta", 3000, 100)).starts_with("HTTP/1.1 200"));
+    CHECK(seen.count(name) == 1);
+  }
+}
