Stop looking for another instance once all were told, and let Ctrl-C put nothing off

By a second reading: release_elsewhere set its timer again every 60 ms for a minute where nobody was left to tell, and each further SIGINT began the last 0.3 s anew. No change of what is sent.

--- a/src/app/wind_down.cpp
+++ b/src/app/wind_down.cpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <csignal>
 #include <string>
+#include <utility>
 
 #include "log/log.hpp"
 
@@ -70,6 +71,7 @@
 // Somebody at a terminal who asks again wants an end at once: what has not begun to be answered hears so.
 void WindDown::hurry() {
   if (!ending_) return begin();
+  if (std::exchange(hurried_, true)) return;  // each further word would put the end off
   conductor_.abandon();
   last_ = loop_.at(loop_.now() + kLastWords, [this] { loop_.stop(); });
 }
--- a/src/app/wind_down.hpp
+++ b/src/app/wind_down.hpp
@@ -39,7 +39,7 @@
   std::function<void()> begun_, reload_;
   std::optional<core::Duration> give_up_after_;
   std::unique_ptr<core::Timer> next_, last_;
-  bool ending_ = false;
+  bool ending_ = false, hurried_ = false;
 };
 
 }  // namespace bankmux::app
--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -841,13 +841,15 @@
   const auto it = releases_.find(number);
   if (it == releases_.end() || it->second.taken || it->second.told.size() >= kReleaseMostTold) return;
   Release& release = it->second;
-  release.elsewhere =
-      scheduler_.at(scheduler_.now() + kReleaseElsewhere, [this, number] { release_elsewhere(number); });
   const Fleet::Member* holder = fleet_.find(release.engine);
   if (holder == nullptr || holder->entry.state == eiderarch::EngineState::gone) return;
+  const auto look_again = [&] {
+    release.elsewhere =
+        scheduler_.at(scheduler_.now() + kReleaseElsewhere, [this, number] { release_elsewhere(number); });
+  };
   // While an attempt is out nothing counts as left behind, and it may be making a state anew.
   const auto request = requests_.find(release.id);
-  if (request != requests_.end() && request->second->attempt) return;
+  if (request != requests_.end() && request->second->attempt) return look_again();
   const Fleet::Member* next = nullptr;  // in the own zone where one is left there, else drawn by the number
   std::pair<bool, std::uint64_t> best;
   for (const auto& [engine, member] : fleet_.members()) {
@@ -858,7 +860,8 @@
     next = &member;
     best = place;
   }
-  if (next == nullptr) return;
+  if (next == nullptr) return;  // all have been told
+  look_again();
   release.told.insert(next->entry.engine);
   instances_.release(next->target, release.payload, [this, number](bool arrived) {
     const auto now = releases_.find(number);
