Ask at a release's first byte whether the next attempt of its request is out

By reading: a release that dials slowly (a box just back, a far zone) was written whatever had begun meanwhile. At the same instance open() took it back from the books, but the call under way still went out and let go of what the new attempt was making; elsewhere the attempt was looked for as the call began and not as its connection came up. The cost was a read done twice, no rule broken.

Instances::release takes may_write like reads, claims and probes, asked in Exchange::connected before the first byte: at the holder whether the release is still on the books, elsewhere whether an attempt of the request is out. One barred elsewhere may be told there later. Two Core cases ask that question at that moment; both fail with may_write answering true, as all releases did.

--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -821,7 +821,9 @@
     return;
   }
   release.out = true;
-  instances_.release(member->target, release.payload, [this, number](bool arrived) {
+  // One that an attempt there took the place of while it dialled would let go of what that makes.
+  const auto may_write = [this, number] { return releases_.contains(number); };
+  instances_.release(member->target, release.payload, may_write, [this, number](bool arrived) {
     const auto now = releases_.find(number);
     if (now == releases_.end()) return;
     now->second.out = false;
@@ -848,8 +850,11 @@
         scheduler_.at(scheduler_.now() + kReleaseElsewhere, [this, number] { release_elsewhere(number); });
   };
   // While an attempt is out nothing counts as left behind, and it may be making a state anew.
-  const auto request = requests_.find(release.id);
-  if (request != requests_.end() && request->second->attempt) return look_again();
+  const auto attempt_out = [this, id = release.id] {
+    const auto request = requests_.find(id);
+    return request != requests_.end() && request->second->attempt;
+  };
+  if (attempt_out()) return look_again();
   const Fleet::Member* next = nullptr;  // in the own zone where one is left there, else drawn by the number
   std::pair<bool, std::uint64_t> best;
   for (const auto& [engine, member] : fleet_.members()) {
@@ -863,7 +868,14 @@
   if (next == nullptr) return;  // all have been told
   look_again();
   release.told.insert(next->entry.engine);
-  instances_.release(next->target, release.payload, [this, number](bool arrived) {
+  // Asked again as the connection comes up, which may take longer than the next attempt's beginning.
+  const auto may_write = [this, number, attempt_out, engine = next->entry.engine] {
+    const auto now = releases_.find(number);
+    if (now == releases_.end()) return false;
+    if (attempt_out()) now->second.told.erase(engine);
+    return now->second.told.contains(engine);
+  };
+  instances_.release(next->target, release.payload, may_write, [this, number](bool arrived) {
     const auto now = releases_.find(number);
     if (now != releases_.end() && arrived) now->second.taken = true;
   });
--- a/src/core/ports.hpp
+++ b/src/core/ports.hpp
@@ -173,7 +173,8 @@
   virtual void claim(const Target& target, const PayloadPtr& payload, std::function<bool()> may_write,
                      std::function<void(ClaimAnswer)> done) = 0;
   // Lets go of all that is held for the request there; done(true) once the call has arrived.
-  virtual void release(const Target& target, const PayloadPtr& payload, std::function<void(bool)> done) = 0;
+  virtual void release(const Target& target, const PayloadPtr& payload, std::function<bool()> may_write,
+                       std::function<void(bool)> done) = 0;
   virtual void probe(const Target& target, std::function<bool()> may_write,
                      std::function<void(const AttemptResult&)> done) = 0;
   // The process behind that name is gone or new: what waits on its old connections is over.
--- a/src/net/instances/instance_client.cpp
+++ b/src/net/instances/instance_client.cpp
@@ -347,10 +347,9 @@
 }
 
 void InstanceClient::release(const core::Target& target, const core::PayloadPtr& payload,
-                             std::function<void(bool)> done) {
-  call(
-      target, call_text(target, "DELETE", "/bootstrap/rooms/" + payload->id), [] { return true; },
-      [done = std::move(done)](const Call& call, bool) { done(call.response().has_head()); });
+                             std::function<bool()> may_write, std::function<void(bool)> done) {
+  call(target, call_text(target, "DELETE", "/bootstrap/rooms/" + payload->id), std::move(may_write),
+       [done = std::move(done)](const Call& call, bool) { done(call.response().has_head()); });
 }
 
 void InstanceClient::probe(const core::Target& target, std::function<bool()> may_write,
--- a/src/net/instances/instance_client.hpp
+++ b/src/net/instances/instance_client.hpp
@@ -29,7 +29,7 @@
                                            core::AttemptEvents& events);
   void claim(const core::Target& target, const core::PayloadPtr& payload, std::function<bool()> may_write,
              std::function<void(core::ClaimAnswer)> done) override;
-  void release(const core::Target& target, const core::PayloadPtr& payload,
+  void release(const core::Target& target, const core::PayloadPtr& payload, std::function<bool()> may_write,
                std::function<void(bool)> done) override;
   void probe(const core::Target& target, std::function<bool()> may_write,
              std::function<void(const core::AttemptResult&)> done) override;
--- a/tests/core_rules_test.cpp
+++ b/tests/core_rules_test.cpp
@@ -86,15 +86,16 @@
     if (!may_write()) return;
     later(draw.time(1, 40), [this, done = std::move(done)] { done(ClaimAnswer(draw.pick(0, 2))); });
   }
-  void release(const Target& target, const PayloadPtr& payload, std::function<void(bool)> done) override {
-    later(draw.time(0, 60), [this, engine = target.engine, id = payload->id, done = std::move(done)] {
-      const bool arrives = draw.chance(0.8);
+  void release(const Target& target, const PayloadPtr& payload, std::function<bool()> may_write,
+               std::function<void(bool)> done) override {
+    later(draw.time(0, 60), [this, engine = target.engine, id = payload->id, may_write = std::move(may_write),
+                             done = std::move(done)] {
+      const bool arrives = draw.chance(0.8) && may_write();
       if (arrives) stories[id].held.erase(engine);
       done(arrives);
     });
   }
-  void probe(const Target&, std::function<bool()>,
-             std::function<void(const AttemptResult&)> done) override {
+  void probe(const Target&, std::function<bool()>, std::function<void(const AttemptResult&)> done) override {
     later(draw.time(1, 300), [this, done = std::move(done)] {
       AttemptResult result;
       result.verdict = draw.chance(0.8) ? Verdict::served : Verdict::broken;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -44,8 +44,10 @@
     claims.push_back(std::move(done));
     may_claim = std::move(may_write);
   }
-  void release(const Target& target, const PayloadPtr&, std::function<void(bool)> done) override {
+  void release(const Target& target, const PayloadPtr&, std::function<bool()> may_write,
+               std::function<void(bool)> done) override {
     log.push_back("release " + target.id);
+    may_release.push_back(std::move(may_write));
     releases.push_back(std::move(done));
   }
   void probe(const Target&, std::function<bool()>, std::function<void(const AttemptResult&)>) override {}
@@ -69,6 +71,7 @@
   Out* out = nullptr;
   std::vector<std::function<void(ClaimAnswer)>> claims;
   std::function<bool()> may_claim;
+  std::vector<std::function<bool()>> may_release;  // by call, as are `releases`
   std::vector<std::function<void(bool)>> releases;
 };
 
@@ -397,6 +400,36 @@
   CHECK(std::ranges::count(w.instances.log, "release r") == 2);
 }
 
+TEST_CASE("Core: a release that still dials as the next read goes out there is not written") {
+  World w;
+  w.list("r", 0);
+  w.list("w", 1);
+  w.ask(0, kLongRead);
+  w.instances.written();
+  w.instances.ended(Verdict::broken, Progress::written);
+  REQUIRE(w.instances.log.back() == "release r");
+  CHECK(w.instances.may_release.at(0)());
+  w.time.settle();
+  REQUIRE(w.instances.log.back() == "open r");
+  CHECK_FALSE(w.instances.may_release.at(0)());
+}
+
+TEST_CASE("Core: a release that still dials elsewhere as the next read goes out is not written") {
+  World w;
+  w.list("r", 0);
+  w.list("w", 1);
+  w.ask(0, 3000);
+  w.instances.written();
+  w.instances.ended(Verdict::broken, Progress::written);
+  REQUIRE(w.instances.log.back() == "release r");
+  w.instances.releases.back()(false);  // so it goes elsewhere at once
+  REQUIRE(w.instances.log.back() == "release w");
+  CHECK(w.instances.may_release.back()());
+  w.time.settle();
+  REQUIRE(w.instances.out != nullptr);
+  CHECK_FALSE(w.instances.may_release.back()());
+}
+
 TEST_CASE("Core: a place that was given after the stream began elsewhere is let go of") {
   World w;
   w.list("r", 0);
