Pass on the LF of an answer's last CRLF where it comes by itself

The event splitter ends an event at a CR, as the format has it, and takes a late LF for nothing ahead of the next event; after the last event there is none, and HttpAttempt::on_events drops what comes after an answer's end. So a client that looks for CRLF CRLF never saw the end, where the box's last piece was cut there.

The LF now goes with the end.

--- a/src/net/instances/instance_client.cpp
+++ b/src/net/instances/instance_client.cpp
@@ -172,6 +172,8 @@
       }
       if (!std::exchange(begun_, true)) whole += std::exchange(lead_, {});
       whole += event;
+      // The LF of the answer's last line end may come by itself, and what comes after its end is nobody's.
+      if (scanner_.done() && event.ends_with("\r\n\r")) whole += '\n';
     });
     if (!sound) too_long_ = over_ = true;
     // The box need not end its response, and some do not.
--- a/tests/stories/chat_stories.cpp
+++ b/tests/stories/chat_stories.cpp
@@ -51,6 +51,28 @@
   CHECK(seen.count(kChat) == int(second.size()));
 }
 
+TEST_CASE("Chat: an answer's end that is cut within its last line end reaches the client whole") {
+  Record seen;
+  const std::string first = "data: {\"choices\":[]}\r\n\r\n", last = "data: [DONE]\r\n\r\n";
+  for (std::size_t cut = last.size() - 4; cut < last.size(); ++cut) {
+    Record word;
+    Peer one(box(seen, [&](Wire& wire, const Message&) {
+      wire.send(stream_head() + chunk(first) + chunk(last.substr(0, cut)));
+      if (!word.wait_for("has the first")) return false;
+      wire.send(chunk(last.substr(cut)) + "0\r\n\r\n");
+      return true;
+    }));
+    Appliance appliance({one.address()});
+    const auto client = appliance.connect();
+    client->send(Appliance::request(Appliance::body("m-consulta", true)));
+    std::string answer = client->receive_until(first);
+    word.add("has the first");
+    answer += client->receive_all();
+    INFO("cut at " << cut << ": " << answer);
+    CHECK(has(answer, last + "\r\n0\r\n\r\n"));
+  }
+}
+
 TEST_CASE("Chat: a slow-reading client holds its fast box back, and still gets every byte") {
   Record seen;
   constexpr std::size_t kEvents = 4000, kSize = 8192;  // 32 MB
