Let the end of an attempt be heard before a repeat or a refusal overtakes it

Ruled out, by a line for every attempt's end: a false proof.

Root cause: Conductor::serve closed the attempt (`r.attempt.reset()`, "Closed before anything else is sent") and took the close for the end. The instance hears of a close one trip later, and a pooled connection near by or the way to a client is shorter: until then the attempt is out and proves nothing, so the next one is a second one out and the refusal calls a request harmless that is still at work. A read has no effect once it has ended, not before.

Change: an attempt that this side closed after its last byte keeps the next send, and for classes that are not safe a refusal too, back for 10 ms (`kCloseTravels`, Conductor::postpone). What the instance has ended itself is followed at once (`AttemptResult::closed_here`).

--- a/include/eiderarch/router.hpp
+++ b/include/eiderarch/router.hpp
@@ -115,6 +115,9 @@
 enum class EngineState { live, draining, gone };
 enum class ListScope { changes, complete, disk, failed };
 
+// The kind of an entry that names none. It stands for no kind of the settings.
+constexpr std::uint32_t kKindNotNamed = UINT32_MAX;
+
 struct EngineEntry {
   EngineId engine = 0;
   EngineState state = EngineState::live;
@@ -154,6 +157,13 @@
 
 enum class Outcome { served, error, busy, timed_out, not_connected, reset, cancelled, skipped, state_held };
 
+// Whether that end of an attempt proves that it did not execute its request. All other ends count as 'may
+// have run': a class whose repetition does harm is not sent again after them.
+[[nodiscard]] constexpr bool proves_not_executed(Outcome outcome) {
+  return outcome == Outcome::busy || outcome == Outcome::not_connected || outcome == Outcome::skipped ||
+         outcome == Outcome::state_held;
+}
+
 struct StreamStarted {
   RequestId id = 0;
   int attempt = 0;
@@ -204,8 +214,9 @@
 struct Send {
   RequestId id = 0;
   EngineId engine = 0;
-  Duration timeout{0};  // 0: until the client gives up
-  Time by{0};           // its last byte is not to leave later, or else not at all; 0: whenever
+  Duration timeout{0};   // 0: until the client gives up
+  Time by{0};            // its last byte is not to leave later, or else not at all; 0: whenever
+  bool prefill = false;  // meant for an engine that only reads, where an attempt has no effect
 };
 struct Cancel {
   RequestId id = 0;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -159,6 +159,8 @@
     if (!row.is_object()) throw wire::MalformedInput("field 'servers' holds something that is not an object");
     core::Listed listed;
     listed.entry = wire::decode_entry(row, kDiscoveryEntry, zones, kinds);
+    // Taken for the first of several kinds, a writer could become a reader, whose attempts have no effect.
+    if (!row.contains("kind") && kinds.size() > 1) listed.entry.kind = eiderarch::kKindNotNamed;
     listed.id = wire::text_field(row, "id");
     if (row.contains("addr")) listed.address = wire::text_field(row, "addr");
     if (!listed.address.empty() && !Address::parse(listed.address)) {
--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -11,7 +11,10 @@
 
 namespace {
 
-constexpr Duration kOverdue = 12ms;       // past the deadline; the client's own grace is 16 ms
+constexpr Duration kOverdue = 12ms;  // past the deadline; the client's own grace is 16 ms
+// How long the end of a connection may be on its way to an instance: some times the longest way between
+// zones. A further attempt on a pooled connection near by, or an answer to a client, is quicker.
+constexpr Duration kCloseTravels = 10ms;
 constexpr Duration kDrainMargin = 100ms;  // before the end of the drain's grace: the bytes need time too
 constexpr Duration kLostStall = 3s;       // patience with a stream whose instance the list no longer knows
 constexpr Duration kReleaseAgain = 20ms;  // pause before a release that did not arrive is tried again
@@ -131,6 +134,7 @@
   bool over = false;
   while (!over) {
     const Step word = co_await r.inbox.next();
+    if (postpone(r, word)) continue;
     const bool given_up = std::holds_alternative<eiderarch::Refuse>(word) ||
                           std::holds_alternative<eiderarch::Fail>(word) ||
                           std::holds_alternative<Overdue>(word);
@@ -141,6 +145,10 @@
       break;
     }
     if (const auto* refuse = std::get_if<eiderarch::Refuse>(&word)) {
+      if (!r.execution.permits_refusal(request_class(r))) {
+        fail_barred(r);
+        break;
+      }
       ++figures_.refused;
       r.reply->refuse(ends(r, RequestRecord::Result::refused, Ending::Cause::refused, refuse->stay_away));
       break;
@@ -175,9 +183,8 @@
     ++r.attempts;
     const int number = Conductor::number(r);
     const Time sent = scheduler_.now();
-    const Fleet::Member* member = fleet_.find(order->engine);
-    const bool reader = member != nullptr && member->entry.kind < settings_.module.kinds.size() &&
-                        settings_.module.kinds[member->entry.kind].role == eiderarch::Role::reader;
+    const ExecutionRecord::Place place = place_of(order->engine, sent);
+    const bool reader = at_prefill_instance(*order);
     AttemptEnd end{Outcome::skipped, 0, {}, false};
     bool out = open(r, *order, reader);
     bool written = false, abandoned = false;
@@ -199,7 +206,7 @@
           out = false;
         }
       } else if (const auto* result = std::get_if<AttemptResult>(&step)) {
-        end = judge(*result);
+        end = judge(*result, reader);
         out = false;
       } else if (std::holds_alternative<ClientGone>(step)) {
         end = {Outcome::cancelled, 0, {}, true};
@@ -212,8 +219,7 @@
           out = false;
         }
       } else if (std::holds_alternative<Abandoned>(step)) {
-        const bool unsent = r.attempt->progress() <= Progress::unwritten;
-        end = {unsent ? Outcome::not_connected : Outcome::cancelled, 0, {}, false};
+        end = {outcome_given_up(r.attempt->progress(), Outcome::cancelled), 0, {}, false};
         abandoned = true;
         out = false;
       } else if (const auto* cancel = std::get_if<eiderarch::Cancel>(&step)) {
@@ -222,8 +228,7 @@
         out = false;
       } else if (std::holds_alternative<Deadline>(step) || std::holds_alternative<TimedOut>(step)) {
         // What was not written whole never ran, and may be said to be harmless to repeat.
-        const bool unsent = r.attempt->progress() <= Progress::unwritten;
-        end = {unsent ? Outcome::not_connected : Outcome::timed_out, 0, {}, false};
+        end = {outcome_given_up(r.attempt->progress(), Outcome::timed_out), 0, {}, false};
         out = false;
       } else if (std::holds_alternative<TooLate>(step) && r.attempt->progress() <= Progress::unwritten) {
         // Its last byte would arrive outside the window in which the class may be repeated.
@@ -235,16 +240,16 @@
     r.too_late.reset();
     r.stall.reset();
     log_failure(r, *order, end, scheduler_.now() - sent);
-    // Closed before anything else is sent: never two attempts out.
+    // Closed before anything else is sent, and heard of there: never two attempts out.
+    if (r.attempt && r.attempt->progress() >= Progress::written && !end.ended_there) {
+      r.closing_until = scheduler_.now() + kCloseTravels;
+    }
     r.attempt.reset();
     if (std::exchange(r.paced, false)) silence_.ended(r.engine);
 
-    // Only a read leaves a state: a writer that says so has not answered, and may have run it.
-    if (!reader && end.outcome == Outcome::state_held) end.outcome = Outcome::error;
-    const bool never_ran = end.outcome == Outcome::busy || end.outcome == Outcome::not_connected ||
-                           end.outcome == Outcome::skipped;
+    const bool never_ran = eiderarch::proves_not_executed(end.outcome);
     r.last = end.outcome;
-    if (!reader && !never_ran) r.may_have_run = true;
+    if (!reader) r.execution.note(place, end.outcome);
     if (never_ran && std::exchange(r.announced, false)) r.reply->never_ran();
     if (reader) {
       if (end.outcome != Outcome::state_held) {
@@ -291,16 +296,16 @@
       r.result = RequestRecord::Result::rejected;
       r.reply->relay(*end.answer);
     }
-    if (abandoned) {
-      post(eiderarch::RequestGone{r.told_as});
-      answer_abandoned(r);
-    }
-    over = abandoned || r.streaming || end.client_gone || end.answer != nullptr;
-    post(eiderarch::AttemptEnded{r.told_as, number, order->engine, end.outcome, scheduler_.now() - sent, over,
-                                 end.detail, std::move(end.report)});
+    const bool barred = std::exchange(r.repeat_barred, false);
+    if (barred) fail_barred(r);
+    over = barred || r.streaming || end.client_gone || end.answer != nullptr;
+    post(eiderarch::AttemptEnded{r.told_as, number, order->engine, end.outcome, scheduler_.now() - sent,
+                                 over || abandoned, end.detail, std::move(end.report)});
+    if (abandoned && !over) r.inbox.push(Abandoned{});
   }
   r.deadline.reset();
   r.overdue.reset();
+  r.postponed.reset();
   r.reply.reset();
   if (!r.streaming) release_all(r.id);
   tell_end(r);
@@ -313,7 +318,7 @@
   while (!end) {
     Step step = co_await r.inbox.next();
     if (const auto* result = std::get_if<AttemptResult>(&step)) {
-      end = judge(*result);
+      end = judge(*result, false);
     } else if (std::holds_alternative<ClientGone>(step)) {
       end = AttemptEnd{Outcome::cancelled, 0, {}, true};
     } else {
@@ -418,7 +423,8 @@
   r.id = r.told_as = r.ask.facts.id = ++last_id_;
   r.arrived = scheduler_.now() - stream.age;
   r.first = r.arrived + stream.first;
-  r.streaming = r.may_have_run = true;
+  r.streaming = true;
+  r.execution.assume_executed();
   r.attempts = stream.attempts;
   for (const auto& [engine, member] : fleet_.members()) {
     if (member.target.id == stream.box) r.engine = engine;
@@ -438,7 +444,7 @@
 
 // Refused where it is known to do no harm to try again, else failed.
 void Conductor::answer_abandoned(Request& r) {
-  if (r.may_have_run && !repeat_safe(r)) {
+  if (!r.execution.permits_refusal(request_class(r))) {
     ++figures_.failed;
     r.reply->fail(ends(r, RequestRecord::Result::failed, Ending::Cause::failed));
   } else {
@@ -490,15 +496,62 @@
 }
 
 bool Conductor::repeat_safe(const Request& r) const {
+  return request_class(r).effect == eiderarch::Effect::safe;
+}
+
+// One that the settings do not name is not to be repeated.
+eiderarch::RequestClass Conductor::request_class(const Request& r) const {
   const std::uint32_t cls = r.ask.facts.request_class;
-  return cls < settings_.module.classes.size() &&
-         settings_.module.classes[cls].effect == eiderarch::Effect::safe;
+  return cls < settings_.module.classes.size() ? settings_.module.classes[cls] : eiderarch::RequestClass{};
+}
+
+// Whether an attempt there has no effect: the list and the module have to agree on that, for an entry's kind
+// may change or be left out while a request waits.
+bool Conductor::at_prefill_instance(const eiderarch::Send& order) const {
+  const Fleet::Member* member = fleet_.find(order.engine);
+  return order.prefill && member != nullptr && member->entry.kind < settings_.module.kinds.size() &&
+         settings_.module.kinds[member->entry.kind].role == eiderarch::Role::reader;
+}
+
+ExecutionRecord::Place Conductor::place_of(EngineId engine, Time sent) const {
+  const Fleet::Member* member = fleet_.find(engine);
+  if (member == nullptr) return {0, 0, sent};
+  return {member->entry.zone, member->entry.cell, sent};
+}
+
+bool Conductor::may_execute_again(Request& r, EngineId engine) {
+  if (r.execution.permits(request_class(r), place_of(engine, scheduler_.now()))) return true;
+  r.repeat_barred = true;
+  return false;
+}
+
+void Conductor::fail_barred(Request& r) {
+  log_("guard", "request " + std::to_string(r.id) + " may have run: its class forbids what was to follow");
+  post(eiderarch::RequestGone{r.told_as});
+  if (r.resumed) return break_off(r);
+  ++figures_.failed;
+  r.reply->fail(ends(r, RequestRecord::Result::failed, Ending::Cause::failed));
+}
+
+// A close is heard by the instance only some time later. A further attempt that overtook it would be a second
+// one out, and a refusal would call a request harmless that is still at work somewhere.
+bool Conductor::postpone(Request& r, const Step& word) {
+  const bool abandons = std::holds_alternative<Abandoned>(word);
+  const bool ends_by_itself =
+      std::holds_alternative<ClientGone>(word) || std::holds_alternative<Overdue>(word);
+  if (r.abandoned && !abandons && !ends_by_itself) return true;  // and it does not come again
+  r.abandoned |= abandons;
+  const bool refuses = abandons || std::holds_alternative<eiderarch::Refuse>(word);
+  const bool overtakes = std::holds_alternative<eiderarch::Send>(word) || (refuses && !repeat_safe(r));
+  if (!overtakes || scheduler_.now() >= r.closing_until) return false;
+  r.postponed = scheduler_.at(r.closing_until, [&r, word] { r.inbox.push(word); });
+  return true;
 }
 
 const Ending& Conductor::ends(Request& r, RequestRecord::Result result, Ending::Cause cause,
                               Duration stay_away) {
   r.result = result;
-  r.ending = {cause, r.may_have_run, repeat_safe(r), stay_away, r.ending.told, r.last};
+  r.ending = {cause, r.execution.may_have_executed(), repeat_safe(r), stay_away, r.ending.told, r.last};
   return r.ending;
 }
 
@@ -528,30 +581,19 @@
              r.first ? *r.first - r.arrived : Duration{-1}, scheduler_.now() - r.arrived});
 }
 
-Conductor::AttemptEnd Conductor::judge(const AttemptResult& result) {
-  switch (result.verdict) {
-    case Verdict::served:
-      return {Outcome::served, result.found, result.report, false};
-    case Verdict::state_held:
-      return {Outcome::state_held, result.found, result.report, false};
-    case Verdict::turned_away:
-      return {Outcome::busy, 0, result.report, false};
-    case Verdict::no_state:
-      return {Outcome::busy, 1, result.report, false};
-    case Verdict::error:
-      return {Outcome::error, 0, result.report, false};
-    case Verdict::rejected:
-      // A fault of the request's own says nothing of the instance: booked as a failure, a few bad clients
-      // would take all instances out of service.
-      return {Outcome::cancelled, 0, result.report, false, false, result.answer};
-    case Verdict::broken:
-      break;
+Conductor::AttemptEnd Conductor::judge(const AttemptResult& result, bool prefill) {
+  AttemptEnd end;
+  end.outcome = outcome_of(result, prefill);
+  end.ended_there = !result.closed_here;
+  if (result.verdict == Verdict::broken) {
+    end.told = result.told;
+    return end;
   }
-  return {result.progress <= Progress::unwritten ? Outcome::not_connected : Outcome::reset,
-          0,
-          {},
-          false,
-          result.told};
+  const bool read = result.verdict == Verdict::served || result.verdict == Verdict::state_held;
+  end.detail = read ? result.found : result.verdict == Verdict::no_state ? 1 : 0;
+  end.report = result.report;
+  end.answer = result.answer;
+  return end;
 }
 
 void Conductor::log_failure(const Request& r, const eiderarch::Send& order, const AttemptEnd& end,
@@ -606,11 +648,12 @@
   const auto may_write = [this, &r, reader, engine = order.engine, by = order.by] {
     if (!may_send(engine) || (by > 0us && scheduler_.now() >= by)) return false;
     // Whoever keeps account of what may have run has it on record before the first byte.
+    if (!reader && !may_execute_again(r, engine)) return false;
     if (!reader && !std::exchange(r.announced, true)) r.reply->sending();
     return true;
   };
-  r.attempt =
-      instances_.start(member->target, r.ask.payload, patience, reader || repeat_safe(r), may_write, r);
+  const ConnectionTerms terms{reader || repeat_safe(r), repeat_safe(r)};
+  r.attempt = instances_.start(member->target, r.ask.payload, patience, terms, may_write, r);
   return true;
 }
 
@@ -701,7 +744,7 @@
           instances_.probe(
               member->target, [this, engine = a.engine] { return may_send(engine); },
               [this, engine = a.engine, sent](const AttemptResult& result) {
-                const AttemptEnd end = judge(result);
+                const AttemptEnd end = judge(result, false);
                 post(eiderarch::ProbeEnded{engine, end.outcome, scheduler_.now() - sent, end.report});
               });
         } else if constexpr (std::is_same_v<A, eiderarch::SetTimer>) {
--- a/src/core/conductor.hpp
+++ b/src/core/conductor.hpp
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "core/execution.hpp"
 #include "core/fleet.hpp"
 #include "core/ports.hpp"
 #include "core/task.hpp"
@@ -149,6 +150,10 @@
     std::unique_ptr<ClientReply> reply;
     Inbox<Step> inbox;
     std::unique_ptr<Timer> deadline, overdue, limit, too_late, stall;
+    // Until then the instance of the last attempt may not have heard that its connection was closed.
+    Time closing_until{0};
+    std::unique_ptr<Timer> postponed;  // brings the word that waits for that
+    bool abandoned = false;            // see abandon; nothing else is to become of it
     std::unique_ptr<Attempt> attempt;
     EngineId engine = 0;  // of the attempt that is out
     int attempts = 0;
@@ -156,8 +161,9 @@
     bool streaming = false;   // the attempt that is out has begun its part of the answer
     Tokens written = 0;       // of its answer, told to the module as a part of the prompt
     bool resumed = false;     // the answer has begun, at an instance that was lost
-    bool may_have_run = false;
-    bool announced = false;  // its reply knows that this attempt may run it
+    ExecutionRecord execution;
+    bool repeat_barred = false;  // the guard at its attempt's first byte did not let it out
+    bool announced = false;      // its reply knows that this attempt may run it
     bool owes_release =
         false;  // the attempt that is out took the place of a release that had not arrived there
     eiderarch::Outcome last = eiderarch::Outcome::skipped;
@@ -204,8 +210,9 @@
     bool told = false;
     AnswerPtr answer = {};
     bool passed_on = false;
+    bool ended_there = false;  // by the instance: it is not at work on the request any more
   };
-  [[nodiscard]] static AttemptEnd judge(const AttemptResult& result);
+  [[nodiscard]] static AttemptEnd judge(const AttemptResult& result, bool prefill);
   void log_failure(const Request& r, const eiderarch::Send& order, const AttemptEnd& end,
                    Duration after) const;
   bool open(Request& r, const eiderarch::Send& order, bool reader);
@@ -223,6 +230,14 @@
   // Its end for its client and the figures; false where its instance was lost, which is not the end yet.
   bool end_stream(Request& r, const AttemptEnd& end);
   void answer_abandoned(Request& r);
+  // Whether that word has to wait until the last attempt's end has been heard; it comes again then.
+  bool postpone(Request& r, const Step& word);
+  [[nodiscard]] bool at_prefill_instance(const eiderarch::Send& order) const;
+  [[nodiscard]] ExecutionRecord::Place place_of(EngineId engine, Time sent) const;
+  // The last line in front of a repeat that its class forbids: logged, and the request fails.
+  bool may_execute_again(Request& r, EngineId engine);
+  void fail_barred(Request& r);
+  [[nodiscard]] eiderarch::RequestClass request_class(const Request& r) const;
   [[nodiscard]] RequestId resolve(RequestId told_as) const;
   void begin_stream(Request& r, const eiderarch::Send& order, Time sent);
 
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -31,7 +31,9 @@
     }
     const Time started = restarted ? std::min(row.entry.started, now) : member.entry.started;
     member.listed_start = row.entry.started;
+    const std::uint32_t kind_before = fresh ? eiderarch::kKindNotNamed : member.entry.kind;
     member.entry = row.entry;
+    if (member.entry.kind == eiderarch::kKindNotNamed) member.entry.kind = kind_before;
     member.entry.started = started;
     member.target = {row.entry.engine, row.id, row.address.empty() ? member.target.address : row.address};
     member.out = out_.contains(row.id);
--- a/src/core/ports.hpp
+++ b/src/core/ports.hpp
@@ -129,6 +129,9 @@
   eiderarch::LoadReport report;
   bool told = false;  // broken by an error event within the stream
   AnswerPtr answer;   // where it was rejected
+  // This side closed the connection: the instance has neither answered whole nor ended it, and may go on with
+  // the request until it hears of that.
+  bool closed_here = false;
 };
 
 // An instance as the list names it.
@@ -158,15 +161,22 @@
   [[nodiscard]] virtual std::optional<Passed> passed() const { return std::nullopt; }
 };
 
+// What a request can bear of a pooled connection.
+struct ConnectionTerms {
+  bool break_harmless = false;  // a break under it: it may be sent again
+  // An answer that belongs to the exchange before it, come late: its word would prove nothing of this
+  // request.
+  bool stray_answer_harmless = false;
+};
+
 enum class ClaimAnswer { held, not_held, unknown };
 
 class Instances {
  public:
   virtual ~Instances() = default;
-  // `may_write` is asked once the connection is up, before the first byte. `repeatable`: should its
-  // connection break, the request may be sent again.
+  // `may_write` is asked once the connection is up, before the first byte.
   [[nodiscard]] virtual std::unique_ptr<Attempt> start(const Target& target, const PayloadPtr& payload,
-                                                       Duration patience, bool repeatable,
+                                                       Duration patience, ConnectionTerms terms,
                                                        std::function<bool()> may_write,
                                                        AttemptEvents& events) = 0;
   // Asks a writer to hold a place.
--- a/src/net/instances/instance_client.cpp
+++ b/src/net/instances/instance_client.cpp
@@ -108,7 +108,7 @@
 class HttpAttempt : public core::Attempt, private Exchange::Events {
  public:
   HttpAttempt(Loop& loop, InstancePool& pool, const core::Target& target, const core::PayloadPtr& payload,
-              Duration patience, bool repeatable, std::function<bool()> may_write,
+              Duration patience, core::ConnectionTerms terms, std::function<bool()> may_write,
               core::AttemptEvents& events, Dialect dialect)
       : loop_(loop),
         may_write_(std::move(may_write)),
@@ -117,7 +117,7 @@
         streamed_(payload->streamed),
         most_body_(dialect == Dialect::platform ? kMostBody : kMostAnswer),
         exchange_(pool, target.address, request_head(target, *payload, patience, dialect),
-                  {payload, &payload->body}, repeatable, *this) {}
+                  {payload, &payload->body}, terms, *this) {}
 
   // In the middle of a stream of the platform's, that another process began.
   HttpAttempt(Loop& loop, InstancePool& pool, const std::string& address, int descriptor,
@@ -187,6 +187,7 @@
     if (whole && !streamed_ && response.status() == 200) whole_found_ = sse::cached_tokens(body_);
     AttemptResult result;
     result.progress = exchange_.progress();
+    result.closed_here = exchange_.closed_here();
     result.verdict = verdict(whole && !too_long_);
     result.report = scanner_.report();
     result.told = scanner_.failed();
@@ -276,7 +277,8 @@
       : may_write_(std::move(may_write)),
         done_(std::move(done)),
         limit_(loop.at(loop.now() + kCallPatience, [this] { on_end(false); })),
-        exchange_(std::make_unique<Exchange>(pool, address, std::move(request), nullptr, true, *this)) {}
+        exchange_(std::make_unique<Exchange>(pool, address, std::move(request), nullptr,
+                                             core::ConnectionTerms{true, true}, *this)) {}
 
   [[nodiscard]] const ResponseParser& response() const { return exchange_->response(); }
   [[nodiscard]] Progress progress() const { return exchange_->progress(); }
@@ -318,10 +320,11 @@
 
 std::unique_ptr<core::Attempt> InstanceClient::start(const core::Target& target,
                                                      const core::PayloadPtr& payload, Duration patience,
-                                                     bool repeatable, std::function<bool()> may_write,
+                                                     core::ConnectionTerms terms,
+                                                     std::function<bool()> may_write,
                                                      core::AttemptEvents& events) {
-  return std::make_unique<HttpAttempt>(loop_, pool_, target, payload, patience, repeatable,
-                                       std::move(may_write), events, dialect_);
+  return std::make_unique<HttpAttempt>(loop_, pool_, target, payload, patience, terms, std::move(may_write),
+                                       events, dialect_);
 }
 
 std::unique_ptr<core::Attempt> InstanceClient::take_over(const std::string& address,
--- a/src/net/instances/instance_pool.cpp
+++ b/src/net/instances/instance_pool.cpp
@@ -23,11 +23,12 @@
 // the deadline.
 constexpr core::Duration kHeadTime{500'000};
 
-// A box that answers twice does so within some milliseconds: a second stream, read after the next request has
-// gone out there, would be taken for that one's. For so long a kept connection gets none. What is answered
-// with no stream is followed at once, for it can be taken for none, and new connections cost jammed readers
-// dear.
-constexpr core::Duration kSettle = 50ms;
+// Quarantine of a pooled connection after a response. An instance that answers twice does so within some
+// milliseconds, and a second answer, read after the next request has gone out there, would be taken for that
+// one's. After a stream it holds for all: another's events would reach the client. After any other answer it
+// holds for those alone that a stray word does harm: a late second refusal would prove that they never ran,
+// while they run. The rest follow at once, for new connections cost busy instances dear.
+constexpr core::Duration kQuarantine = 50ms;
 // From an answer's head to its end where it is no stream: nobody waits for the rest of a refusal.
 constexpr core::Duration kRestTime{500'000};
 
@@ -49,14 +50,16 @@
 // ---- Exchange ----
 
 Exchange::Exchange(InstancePool& pool, std::string address, std::string head,
-                   std::shared_ptr<const std::string> body, bool repeatable, Events& events)
+                   std::shared_ptr<const std::string> body, core::ConnectionTerms terms, Events& events)
     : pool_(pool),
       address_(std::move(address)),
       head_(std::move(head)),
       body_(std::move(body)),
       events_(events) {
-  settles_ = body_ != nullptr;
-  if (pool_.trusts_kept(repeatable)) connection_ = pool_.take_idle(address_);
+  attempt_ = body_ != nullptr;
+  if (pool_.trusts_kept(terms.break_harmless)) {
+    connection_ = pool_.take_idle(address_, terms.stray_answer_harmless);
+  }
   reused_ = connection_ != nullptr;
   if (!reused_) connection_ = pool_.connect(address_);
   if (connection_ == nullptr || reused_) {
@@ -75,7 +78,7 @@
       address_(std::move(address)),
       events_(events),
       connection_(bufferevent_socket_new(pool.loop_.base(), descriptor, BEV_OPT_CLOSE_ON_FREE)),
-      settles_(true),
+      attempt_(true),
       heard_(true),
       progress_(Progress::streaming) {
   if (!connection_) {
@@ -213,8 +216,7 @@
   }
   if (parser_.state() != ResponseParser::State::done) return;
   if (pool_.trusts_kept(true) && parser_.keep_alive() && used == bytes.size() && !early) {
-    pool_.keep(address_, std::move(connection_),
-               pool_.loop_.now() + (parser_.status() == 200 && settles_ ? kSettle : 0s));
+    pool_.keep(address_, std::move(connection_), attempt_ && parser_.status() == 200);
   }
   end(true);
 }
@@ -225,11 +227,13 @@
     return readable();
   }
   if (reused_ && !heard_) pool_.note_kept(false);
+  closed_here_ = false;
   end(parser_.finish());
 }
 
 // Last: the events may destroy this exchange.
 void Exchange::end(bool whole) {
+  if (whole) closed_here_ = false;
   progress_ = whole ? Progress::ended : progress();
   close();
   events_.on_end(whole);
@@ -250,10 +254,10 @@
 // it: that request may have run. Where this happens, one that must not run twice takes a new connection, and
 // where it happens often all do, until what was seen has faded. New ones cost the instances work, so not
 // without need.
-bool InstancePool::trusts_kept(bool repeatable) const {
+bool InstancePool::trusts_kept(bool break_harmless) const {
   const double fade = std::exp(-double((loop_.now() - kept_at_).count()) / kKeptFade);
   const double bad = kept_bad_ * fade;
-  return repeatable ? bad <= kMostBroken * (kept_good_ * fade + bad + kFirstGood) : bad < kRestOfBroken;
+  return break_harmless ? bad <= kMostBroken * (kept_good_ * fade + bad + kFirstGood) : bad < kRestOfBroken;
 }
 
 void InstancePool::note_kept(bool lived) {
@@ -263,13 +267,14 @@
   kept_at_ = loop_.now();
 }
 
-BufferEventPtr InstancePool::take_idle(const std::string& address) {
+BufferEventPtr InstancePool::take_idle(const std::string& address, bool stray_answer_harmless) {
   const auto it = idle_.find(address);
   if (it == idle_.end()) return nullptr;
   std::list<Idle>& list = it->second;
   const core::Time now = loop_.now();
   for (auto idle = list.begin(); idle != list.end();) {
-    if (idle->settled > now) {
+    const bool quarantined = idle->answered_stream || !stray_answer_harmless;
+    if (quarantined && now < idle->answered + kQuarantine) {
       ++idle;
       continue;
     }
@@ -315,9 +320,9 @@
   return connection;
 }
 
-void InstancePool::keep(const std::string& address, BufferEventPtr connection, core::Time settled) {
+void InstancePool::keep(const std::string& address, BufferEventPtr connection, bool answered_stream) {
   std::list<Idle>& list = idle_[address];
-  Idle& idle = list.emplace_front(Idle{this, address, std::move(connection), settled});
+  Idle& idle = list.emplace_front(Idle{this, address, std::move(connection), loop_.now(), answered_stream});
   const auto us = limits_.idle.count();
   const timeval time{static_cast<time_t>(us / 1'000'000), static_cast<suseconds_t>(us % 1'000'000)};
   bufferevent_set_timeouts(idle.connection.get(), &time, nullptr);
--- a/src/net/instances/instance_pool.hpp
+++ b/src/net/instances/instance_pool.hpp
@@ -35,7 +35,7 @@
 
   // `head`: the request's head, or a whole request without a body. `body` is shared, not copied.
   Exchange(InstancePool& pool, std::string address, std::string head, std::shared_ptr<const std::string> body,
-           bool repeatable, Events& events);
+           core::ConnectionTerms terms, Events& events);
   // Goes on with one whose response another process has read so far; takes the descriptor.
   Exchange(InstancePool& pool, std::string address, int descriptor, const ResponseParser::Place& place,
            Events& events);
@@ -47,6 +47,8 @@
   // Stops reading from the connection, and goes on.
   void pause(bool on);
   [[nodiscard]] const ResponseParser& response() const { return parser_; }
+  // Its end was this side's doing: neither a whole response nor the connection's end by the other side.
+  [[nodiscard]] bool closed_here() const { return closed_here_; }
   // Its descriptor where it is within a streamed body and nothing read or written waits in this process; else
   // -1.
   [[nodiscard]] int passable() const;
@@ -71,7 +73,8 @@
   BufferEventPtr connection_;
   std::unique_ptr<core::Timer> limit_;
   ResponseParser parser_;
-  bool settles_ = false;  // its answer may come a second time
+  bool attempt_ = false;  // not a call without a body
+  bool closed_here_ = true;
   bool reused_ = false;
   bool heard_ = false;  // any byte of a response
   core::Progress progress_ = core::Progress::not_connected;
@@ -95,15 +98,16 @@
     InstancePool* pool = nullptr;
     std::string address;
     BufferEventPtr connection;
-    core::Time settled{0};  // from then on another request may use it
+    core::Time answered{0};        // when its last response was whole
+    bool answered_stream = false;  // and whether that was an attempt's 200
   };
 
   // Whether kept connections have lately lived to their next answer, well enough for such a request.
-  [[nodiscard]] bool trusts_kept(bool repeatable) const;
+  [[nodiscard]] bool trusts_kept(bool break_harmless) const;
   void note_kept(bool lived);
-  BufferEventPtr take_idle(const std::string& address);
+  BufferEventPtr take_idle(const std::string& address, bool stray_answer_harmless);
   BufferEventPtr connect(const std::string& address);
-  void keep(const std::string& address, BufferEventPtr connection, core::Time settled);
+  void keep(const std::string& address, BufferEventPtr connection, bool answered_stream);
   static void closed_idle(Idle* idle);
 
   Loop& loop_;
--- a/src/router/attempts.cpp
+++ b/src/router/attempts.cpp
@@ -55,7 +55,7 @@
   e.work += a.work;
   e.out += 1;
   if (!to_reader) e.held += footprint(r);
-  actions_.emplace_back(Send{r.ask.id, a.engine, Duration{0}, repeat_by(r).value_or(0s)});
+  actions_.emplace_back(Send{r.ask.id, a.engine, Duration{0}, repeat_by(r).value_or(0s), to_reader});
   e.kept.put(r.ask.prefix, r.ask.prefix_tokens);
   if (known_.cold(e)) e.cold_credit = cold_credit(e) - 1.0;
   e.cold_at = now_;
@@ -155,9 +155,7 @@
     hand_over(r);
     return;
   }
-  const bool proves_not_run =
-      e.outcome == Outcome::busy || e.outcome == Outcome::not_connected || e.outcome == Outcome::skipped;
-  if (!a.reader && !proves_not_run) r.may_have_run = a.may_have_run = true;
+  if (!a.reader && !proves_not_executed(e.outcome)) r.may_have_run = a.may_have_run = true;
   r.tried.push_back(a.engine);
   if (e.outcome == Outcome::skipped || now_ + kReclaim >= r.ask.deadline ||
       (r.may_have_run && r.cls.effect == Effect::unsafe)) {
