End a request that was refused after a wait, and restart processes under faults

"Fleet: processes that restart in turn never execute twice what must not be repeated" starts three processes before five instances with drawn faults, ends and restarts each while six clients ask as the protocol page has it, and counts what was executed of each request over all processes. Cause: a refusal that `Conductor::postpone` had put off ended its request from a timer, where nothing brings the flush that drops it (Conductor::reap), so open_requests stayed above 0.

--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -334,10 +334,7 @@
   }
   r.reply.reset();
   tell_end(r);
-  // Nothing was posted that would bring a flush, and from in here it cannot be dropped.
-  scheduler_.soon([this, alive = alive_] {
-    if (*alive) reap();
-  });
+  reap_soon();  // from in here it cannot be dropped
 }
 
 std::optional<Conductor::AttemptEnd> Conductor::stream_step(Request& r, Step& step) {
@@ -544,7 +541,10 @@
   const bool refuses = abandons || std::holds_alternative<eiderarch::Refuse>(word);
   const bool overtakes = std::holds_alternative<eiderarch::Send>(word) || (refuses && !repeat_safe(r));
   if (!overtakes || scheduler_.now() >= r.closing_until) return false;
-  r.postponed = scheduler_.at(r.closing_until, [&r, word] { r.inbox.push(word); });
+  r.postponed = scheduler_.at(r.closing_until, [this, &r, word] {
+    reap_soon();
+    r.inbox.push(word);  // last: it may destroy this timer
+  });
   return true;
 }
 
@@ -773,6 +773,13 @@
   if (it != requests_.end() && !it->second->life.done()) it->second->inbox.push(std::move(step));
 }
 
+// Where a request may end with nothing posted that would bring a flush.
+void Conductor::reap_soon() {
+  scheduler_.soon([this, alive = alive_] {
+    if (*alive) reap();
+  });
+}
+
 // Drops the requests that are over; an exception in one ends that one alone.
 void Conductor::reap() {
   std::erase_if(requests_, [this](const auto& p) {
--- a/src/core/conductor.hpp
+++ b/src/core/conductor.hpp
@@ -255,6 +255,7 @@
   void carry_out(const eiderarch::Action& action);
   void give(RequestId id, Step step);
   void reap();
+  void reap_soon();
 
   void may_hold(const Request& r, EngineId engine);
   void release_at(RequestId id, const PayloadPtr& payload, EngineId engine);
--- a/tests/repeat_test.cpp
+++ b/tests/repeat_test.cpp
@@ -176,6 +176,7 @@
   CHECK(w.answers.empty());
   w.time.pass(1ms);
   CHECK(w.answers == Log{"refused"});
+  CHECK(w.conductor->open_requests() == 0);  // without it the process would never end
 }
 
 // ---- Reader or writer ----
--- a/tests/stories/repeat_stories.cpp
+++ b/tests/stories/repeat_stories.cpp
@@ -116,6 +116,13 @@
     const std::lock_guard lock(mutex_);
     return executions_[name];
   }
+  // How often each was executed, together with the repeats that its client made under names of their own.
+  std::map<std::string, std::size_t> by_request() {
+    const std::lock_guard lock(mutex_);
+    std::map<std::string, std::size_t> times;
+    for (const auto& [name, at] : executions_) times[name.substr(0, name.find('.'))] += at.size();
+    return times;
+  }
 
  private:
   std::mutex mutex_;
@@ -272,3 +279,88 @@
     }
   }
 }
+
+// ---- Processes that end and start ----
+
+namespace {
+
+// A client of several processes, as the protocol page has it: a connection that ends without a word brings
+// the same request once more to another process, a refusal a new request with a name of its own.
+class FleetClient {
+ public:
+  FleetClient(const std::vector<std::string>& addresses, std::uint32_t seed)
+      : addresses_(addresses), draw_(seed) {}
+
+  void ask(const std::string& name) {
+    std::string txn = name;
+    bool sent_again = false;
+    for (int attempt = 0; attempt < 5; ++attempt) {
+      const auto wire = Wire::to(addresses_[draw_() % addresses_.size()]);
+      if (wire == nullptr) continue;  // a process that is down
+      wire->send(client_request(txn, "ajuste", 700, draw_() % 2 == 0 ? 100 : 6000));
+      const std::string answer = wire->receive_all();
+      if (answer.empty()) {
+        if (std::exchange(sent_again, true)) return;
+      } else if (answer.starts_with("HTTP/1.1 503")) {
+        txn = name + "." + std::to_string(attempt);
+      } else {
+        return;
+      }
+    }
+  }
+
+ private:
+  const std::vector<std::string>& addresses_;
+  std::mt19937 draw_;
+};
+
+}  // namespace
+
+TEST_CASE("Fleet: processes that restart in turn never execute twice what must not be repeated") {
+  constexpr int kProcesses = 3, kClients = 6;
+  constexpr std::uint32_t kSeed = 21;
+  Ledger ledger;
+  std::vector<std::unique_ptr<FaultyInstance>> instances;
+  std::vector<Platform::Instance> listed;
+  for (std::uint32_t i = 0; i < 5; ++i) {
+    const char* const kind = i < 2 ? "lectura" : i < 4 ? "escritura" : "mixto";
+    instances.push_back(std::make_unique<FaultyInstance>(ledger, i < 2, kSeed + i));
+    listed.push_back({"s" + std::to_string(i), kind, instances.back()->address()});
+  }
+  nlohmann::json settings = site_settings();
+  for (auto& c : settings["categories"]) c["deadlineS"] = 1.0;  // what is left at the end is given up soon
+  Platform platform(listed, settings);
+  std::vector<std::string> addresses{platform.address()};
+  std::vector<std::unique_ptr<Program>> programs(kProcesses);
+  const auto start = [&](std::size_t i) {
+    programs[i] = platform.start({{"PROXY_LISTEN", addresses[i]}});
+    programs[i]->expect_listening(addresses[i]);
+  };
+  while (addresses.size() < kProcesses) addresses.push_back(own_address());
+  for (std::size_t i = 1; i < kProcesses; ++i) start(i);
+
+  std::atomic<bool> over{false};
+  std::atomic<int> asked{0};
+  std::vector<std::thread> clients;
+  for (int c = 0; c < kClients; ++c) {
+    clients.emplace_back([&, c] {
+      FleetClient client(addresses, kSeed + std::uint32_t(c));
+      for (int i = 0; i < 500 && !over; ++i, ++asked) {
+        client.ask("c" + std::to_string(c) + "-" + std::to_string(i));
+      }
+    });
+  }
+  for (std::size_t i = 0; i < kProcesses; ++i) {
+    Program& ending = programs[i] ? *programs[i] : platform.program();
+    ending.terminate();
+    CHECK(ending.wait() == 0);
+    start(i);
+  }
+  over = true;
+  for (std::thread& client : clients) client.join();
+  CHECK(asked > kClients);
+  for (const auto& [name, times] : ledger.by_request()) {
+    CAPTURE(name);
+    CHECK(times == 1);
+  }
+}
