--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -652,7 +652,9 @@
     if (!reader && !std::exchange(r.announced, true)) r.reply->sending();
     return true;
   };
-  const ConnectionTerms terms{reader || repeat_safe(r), repeat_safe(r)};
+  // A read has no effect, and new connections cost busy readers dear.
+  const bool harmless = reader || repeat_safe(r);
+  const ConnectionTerms terms{harmless, harmless};
   r.attempt = instances_.start(member->target, r.ask.payload, patience, terms, may_write, r);
   return true;
 }
