--- a/tests/stories/platform_stories.cpp
+++ b/tests/stories/platform_stories.cpp
@@ -611,7 +611,7 @@
 }
 
 TEST_CASE("SIGHUP: a faulty file changes nothing, and a good one moves the watch, and no request is lost") {
-  Record seen, watches;
+  Record seen, watches, last_watches;
   std::atomic<bool> go_on{false};
   Peer old_box(instance(seen, [&](Wire& wire, const Message&) {
     wire.send(stream_head() + chunk("data: 1\n\n"));
@@ -623,15 +623,23 @@
     wire.send(events({"new", "[DONE]"}));
     return true;
   }));
-  // A discovery that counts its versions from below what the program knows.
-  Peer moved([&](Wire& wire) {
-    const auto request = wire.receive();
-    wire.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
-              chunk(Platform::line(0, true, {{"n", "mixto", new_box.address()}}) + "\n"));
-    watches.add(request ? request->first : "");
-    while (!wire.closed_within(1000)) {
-    }
-  });
+  Peer newest_box(instance(seen, [&](Wire& wire, const Message&) {
+    wire.send(events({"newest", "[DONE]"}));
+    return true;
+  }));
+  // Discoveries that count their versions from below what the program knows.
+  const auto discovery_with = [](Record& watched, const Peer& box) {
+    return [&](Wire& wire) {
+      const auto request = wire.receive();
+      wire.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                chunk(Platform::line(0, true, {{"n", "mixto", box.address()}}) + "\n"));
+      watched.add(request ? request->first : "");
+      while (!wire.closed_within(1000)) {
+      }
+    };
+  };
+  Peer moved(discovery_with(watches, new_box));
+  Peer moved_again(discovery_with(last_watches, newest_box));
   Platform platform({{"o", "mixto", old_box.address()}});
   REQUIRE(platform.watches.wait_for("GET /api/targets?follow=1&since=1 HTTP/1.1"));
   const auto client = platform.connect();
@@ -647,9 +655,15 @@
   platform.reload(fresh.dump());
   platform.reload(fresh.dump());
   REQUIRE(watches.wait_for("GET /api/targets?follow=1 HTTP/1.1"));
+  // Its answer comes after every signal sent before it was handled, so that the next reload opens one watch,
+  // and what that watch was sent is read before the stream ends.
+  CHECK(platform.ask("GET /-/ready HTTP/1.1\r\nConnection: close\r\n\r\n").starts_with("HTTP/1.1 200"));
+  fresh["discovery"] = moved_again.address();
+  platform.reload(fresh.dump());
+  REQUIRE(last_watches.wait_for("GET /api/targets?follow=1 HTTP/1.1"));
   go_on = true;
   CHECK(client->receive_all().ends_with("0\r\n\r\n"));
-  CHECK(has(platform.ask(client_request("h2", "consulta")), "data: new"));
+  CHECK(has(platform.ask(client_request("h2", "consulta")), "data: newest"));
 
   platform.program().terminate();
   platform.program().send_signal(SIGHUP);
