Begin a client's answer only once the first event is whole

Ruled out: requests read and dropped in a closing connection (none in these logs), bad responses, refusals.

Root cause: HttpAttempt::on_body (src/net/instances/instance_client.cpp:147-149) gave any body bytes to the core, and Conductor::serve takes the first for the beginning of the client's answer, after which no further attempt and no other final answer is possible.

Change: the bytes of a platform stream are kept (16 KiB at most) until its first event is whole, comments among them, and then passed on unchanged; later bytes pass as they come. A break before that is a failed attempt that may have run: a safe class goes elsewhere, an unsafe one gets its whole answer "failed".

--- a/src/net/instances/instance_client.cpp
+++ b/src/net/instances/instance_client.cpp
@@ -24,7 +24,7 @@
 constexpr std::size_t kMostAnswer =
     16 * 1024 * 1024;                                // of one in the chat dialect, which is what is asked for
 constexpr std::size_t kMostEvent = 2 * 1024 * 1024;  // images and log probabilities come in one
-constexpr std::size_t kMostLead = 16 * 1024;         // of comments ahead of a stream's first event
+constexpr std::size_t kMostLead = 16 * 1024;         // kept of a stream until its first event is whole
 constexpr Duration kAfterDone = 250ms;  // in which a response may end by itself, and its connection be kept
 
 // Headers that belong to one connection, and those that are worded anew.
@@ -103,8 +103,8 @@
   return {std::move(place), std::move(open)};
 }
 
-// One attempt. Its end says what the instance said; in the chat dialect the core is given whole events alone,
-// so that an attempt has begun its client's answer only once a whole event is there.
+// One attempt. Its end says what the instance said. An attempt has begun its client's answer only once a
+// whole event is there; in the chat dialect the core is given whole events alone.
 class HttpAttempt : public core::Attempt, private Exchange::Events {
  public:
   HttpAttempt(Loop& loop, InstancePool& pool, const core::Target& target, const core::PayloadPtr& payload,
@@ -128,6 +128,7 @@
         streamed_(true),
         taken_over_(true),
         most_body_(kMostBody),
+        begun_(true),
         scanner_(std::move(open)),
         exchange_(pool, address, descriptor, place, *this) {}
 
@@ -147,15 +148,26 @@
   void on_body(std::string bytes) override {
     const ResponseParser& response = exchange_.response();
     if (response.status() == 200 && streamed_ && !wrong_form()) {
-      if (dialect_ == Dialect::openai) return on_events(bytes);
-      scanner_.feed(bytes);
-      events_.on_data(std::move(bytes));
+      dialect_ == Dialect::openai ? on_events(bytes) : on_stream(std::move(bytes));
     } else if (body_.size() + bytes.size() <= most_body_) {
       body_ += bytes;
     } else {
       too_long_ = true;
     }
   }
+  // The bytes of a stream that is passed on as it comes. It belongs to its client from its first whole event
+  // on: one that breaks before may still be made elsewhere, or be answered as failed.
+  void on_stream(std::string bytes) {
+    scanner_.feed(bytes);
+    if (!begun_) {
+      lead_ += bytes;
+      (void)splitter_.feed(bytes, [this](std::string_view event) { begun_ |= !sse::only_comments(event); });
+      begun_ |= lead_.size() > kMostLead;  // guards memory: an event that long is passed on in parts
+      if (!begun_) return;
+      bytes = std::exchange(lead_, {});
+    }
+    events_.on_data(std::move(bytes));  // last: it may destroy this
+  }
   void on_events(std::string_view bytes) {
     if (over_) return;  // what comes after an answer's end is nobody's
     std::string whole;
--- a/tests/stories/crossing_stories.cpp
+++ b/tests/stories/crossing_stories.cpp
@@ -320,6 +320,79 @@
 
 // ---- Streams ----
 
+// Seen as a lost request: "d", the first letter of an event, had begun the answer, and with the connection it
+// broke off. An attempt belongs to its client from the first event on, which has to be whole for that.
+TEST_CASE("Crossing: an answer that breaks within its first event has not begun") {
+  for (const char* part :
+       {"d", "data: {\"choices\":", "data: 1\n", ": a comment\n\n", ": a comment\n\ndata"}) {
+    CAPTURE(part);
+    Record seen;
+    Peer breaks([&](Wire& wire) {
+      const auto request = wire.receive();
+      if (!request) return;
+      seen.add("breaks");
+      wire.send(stream_head() + chunk(part));
+      std::this_thread::sleep_for(50ms);  // these bytes are read before the reset, which would destroy them
+      wire.reset();
+    });
+    Peer serves(serving(seen));
+    Platform platform({{"b", "mixto", breaks.address()}});
+    REQUIRE(platform.watches.wait_for("GET /api/targets?follow=1&since=1 HTTP/1.1"));
+    // One that may run twice is made anew elsewhere, and its client gets that answer alone.
+    const auto client = platform.connect();
+    client->send(client_request("safe", "consulta", 5000, 100));
+    REQUIRE(seen.wait_for("breaks"));
+    platform.push(Platform::line(2, false, {{"s", "mixto", serves.address()}}));
+    const std::string answer = client->receive_all();
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+    CHECK(answer.ends_with("\r\n\r\n" + chunk("data: [DONE]\n\n") + "0\r\n\r\n"));
+  }
+}
+
+TEST_CASE("Crossing: what must not be repeated and breaks within its first event is answered as failed") {
+  Record seen;
+  Peer breaks([&](Wire& wire) {
+    if (!wire.receive()) return;
+    seen.add("breaks");
+    wire.send(stream_head() + chunk("data: {"));
+    std::this_thread::sleep_for(50ms);
+    wire.reset();
+  });
+  Platform platform({{"b", "mixto", breaks.address()}});
+  const std::string answer = platform.ask(client_request("unsafe", "ajuste", 5000, 100));
+  CHECK(answer.starts_with("HTTP/1.1 5"));
+  CHECK_FALSE(answer.starts_with("HTTP/1.1 503"));
+  CHECK(has(answer, "Content-Length: "));
+  CHECK(seen.count("breaks") == 1);
+}
+
+TEST_CASE(
+    "Crossing: a first event that comes byte by byte, and what follows it, reach the client unchanged") {
+  const std::string stream = ": hello\r\n\r\ndata: 1\r\n\r\ndata: 2\n\ndata: [DONE]\n\n";
+  Peer box([&](Wire& wire) {
+    if (!wire.receive()) return;
+    wire.send(stream_head());
+    for (const char byte : stream) {
+      wire.send(chunk(std::string(1, byte)));
+      std::this_thread::sleep_for(1ms);
+    }
+    wire.send("0\r\n\r\n");
+  });
+  Platform platform({{"w", "mixto", box.address()}});
+  const auto client = platform.connect();
+  client->send(client_request("pieces", "consulta", 5000, 100));
+  CHECK(client->receive_head().status() == 200);
+  std::string body;
+  const std::string chunks = client->receive_all();
+  for (std::size_t at = 0; at < chunks.size();) {
+    const std::size_t size = std::stoul(chunks.substr(at), nullptr, 16);
+    at = chunks.find("\r\n", at) + 2;
+    body += chunks.substr(at, size);
+    at += size + 2;
+  }
+  CHECK(body == stream);
+}
+
 TEST_CASE("Crossing: each event passes within 0.3 s, cut in two or not, while others flood and leave") {
   Record seen;
   constexpr int kEvents = 20;
