Split the conductor by concern: lifecycle, streams, held caches, shutdown, records

Names by the glossary: Step -> RequestEvent, told_as -> module_id, life -> lifecycle, Abandoned -> Aborted, claim -> reserve, Overdue -> DecisionOverdue, TooLate -> SendTooLate, and the like. Refusing and failing stand once each.

--- /dev/null
+++ b/src/core/request_lifecycle.cpp
@@ -0,0 +1,437 @@
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "core/conductor.hpp"
+
+namespace bankmux::core {
+
+using namespace std::chrono_literals;
+using eiderarch::Outcome;
+
+namespace {
+
+constexpr Duration kOverdue = 12ms;  // past the deadline; the client's own grace is 16 ms
+// How long the end of a connection may be on its way to an instance: some times the longest way between
+// zones. A further attempt on a pooled connection near by, or an answer to a client, is quicker.
+constexpr Duration kCloseTravels = 10ms;
+constexpr Duration kDrainMargin = 100ms;  // before the end of the drain's grace: the bytes need time too
+
+}  // namespace
+
+// Its events come from the module (Send, Cancel, ClaimWriter, Refuse, Fail), its attempt, its client and its
+// timers, in one inbox. The outer loop waits for the module's next command; the inner one follows the attempt
+// that is out, so that there is never a second one.
+Task Conductor::serve(Request& r) {
+  post(r.ask.facts);
+  bool over = false;
+  while (!over) {
+    const RequestEvent event = co_await r.inbox.next();
+    if (postpone(r, event)) continue;
+    if (end_between_attempts(r, event)) break;
+    const auto* order = std::get_if<eiderarch::Send>(&event);
+    if (order == nullptr) continue;  // about an attempt that is over
+
+    AttemptInHand attempt = begin_attempt(r, *order);
+    while (!attempt.end) {
+      RequestEvent step = co_await r.inbox.next();
+      attempt_step(r, attempt, step);
+    }
+    close_attempt(r, attempt);
+    account_for_execution(r, attempt);
+    account_for_held_caches(r, attempt);
+    over = conclude_attempt(r, attempt);
+  }
+  r.deadline.reset();
+  r.overdue.reset();
+  r.postponed.reset();
+  r.reply.reset();
+  if (!r.streaming) held_.release_all(r.id);
+  tell_end(r);
+}
+
+void Conductor::watch_deadline(Request& r) {
+  const Time deadline = r.ask.facts.deadline;
+  r.deadline = scheduler_.at(deadline, [&r] { r.inbox.push(DeadlinePassed{}); });
+  r.overdue = scheduler_.at(deadline + kOverdue, [&r] { r.inbox.push(DecisionOverdue{}); });
+}
+
+bool Conductor::end_between_attempts(Request& r, const RequestEvent& event) {
+  const auto* refusal = std::get_if<eiderarch::Refuse>(&event);
+  const bool fails = std::holds_alternative<eiderarch::Fail>(event);
+  const bool overdue = std::holds_alternative<DecisionOverdue>(event);
+  if (r.resumed && (refusal != nullptr || fails || overdue)) {
+    // Its client has a part of the answer already, so nothing else can follow.
+    if (overdue) post(eiderarch::RequestGone{r.module_id});
+    break_off(r);
+  } else if (refusal != nullptr && !r.execution.permits_refusal(request_class(r))) {
+    fail_barred(r);
+  } else if (refusal != nullptr) {
+    refuse(r, Ending::Cause::refused, refusal->stay_away);
+  } else if (fails) {
+    fail(r, Ending::Cause::failed);
+  } else if (std::holds_alternative<ClientGone>(event)) {
+    ++figures_.gone;
+    r.result = RequestRecord::Result::gone;
+    post(eiderarch::RequestGone{r.module_id});
+  } else if (std::holds_alternative<Aborted>(event)) {
+    post(eiderarch::RequestGone{r.module_id});
+    answer_aborted(r);
+  } else if (overdue) {
+    // Guards the one final answer: whatever the module still ponders, the client's wait ends here.
+    fail(r, Ending::Cause::no_decision);
+    post(eiderarch::RequestGone{r.module_id});
+  } else {
+    return false;
+  }
+  return true;
+}
+
+Conductor::AttemptInHand Conductor::begin_attempt(Request& r, const eiderarch::Send& order) {
+  ++r.attempts;
+  AttemptInHand attempt;
+  attempt.order = order;
+  attempt.number = r.attempt_number();
+  attempt.sent = scheduler_.now();
+  attempt.place = place_of(order.engine, attempt.sent);
+  attempt.prefill = at_prefill_instance(order);
+  if (!open(r, attempt)) attempt.end = AttemptEnd{Outcome::skipped, 0, {}, false};
+  return attempt;
+}
+
+bool Conductor::open(Request& r, const AttemptInHand& attempt) {
+  const eiderarch::Send& order = attempt.order;
+  const Fleet::Member* member = fleet_.find(order.engine);
+  const Time now = scheduler_.now();
+  if (member == nullptr || r.streaming || now >= r.ask.facts.deadline) return false;
+  if (r.attempts > settings_.module.limits.max_attempts) return false;
+  ++figures_.attempts;
+  Duration patience = r.ask.facts.deadline - now;
+  if (order.timeout > 0us && order.timeout < patience) {
+    patience = order.timeout;
+    r.limit = scheduler_.at(now + patience, [&r] { r.inbox.push(AttemptTimedOut{}); });
+  }
+  // A release still being tried there would let go of what this attempt is about to make or fetch. What it
+  // was to let go of is the attempt's to account for: one that never reaches the instance leaves it lying
+  // there.
+  r.owes_release = held_.withdraw_releases(r.ask.payload, order.engine);
+  if (attempt.prefill) held_.may_hold(r.id, r.ask.payload, order.engine);
+  r.engine = order.engine;
+  r.execution_recorded = false;
+  if (order.by > 0us) r.too_late = scheduler_.at(order.by, [&r] { r.inbox.push(SendTooLate{}); });
+  const auto may_write = [this, &r, prefill = attempt.prefill, engine = order.engine, by = order.by] {
+    if (!may_send(engine) || (by > 0us && scheduler_.now() >= by)) return false;
+    // Whoever keeps account of what may have run has it on record before the first byte.
+    if (!prefill && !may_execute_again(r, engine)) return false;
+    if (!prefill && !std::exchange(r.execution_recorded, true)) r.reply->sending();
+    return true;
+  };
+  // A prefill has no effect, and new connections cost busy prefill instances dear.
+  const bool harmless = attempt.prefill || repeat_safe(r);
+  const ConnectionTerms terms{harmless, harmless};
+  r.attempt = instances_.start(member->target, r.ask.payload, patience, terms, may_write, r);
+  return true;
+}
+
+void Conductor::attempt_step(Request& r, AttemptInHand& attempt, RequestEvent& event) {
+  if (std::holds_alternative<RequestWritten>(event)) {
+    attempt.written = true;
+    ++figures_.written;
+    // A place is asked for once the prefill is on its way: earlier, the decode instance may not know of it.
+    if (attempt.reservation_at) reserve(r, *attempt.reservation_at);
+  } else if (const auto* ahead = std::get_if<eiderarch::ClaimWriter>(&event)) {
+    attempt.reservation_at = ahead->engine;
+    if (attempt.written) reserve(r, *attempt.reservation_at);
+  } else if (std::holds_alternative<AnswerData>(event)) {
+    if (!r.streaming) begin_stream(r, attempt);
+    attempt.end = stream_step(r, event);
+  } else if (const auto* result = std::get_if<AttemptResult>(&event)) {
+    attempt.end = judge(*result, attempt.prefill);
+  } else if (std::holds_alternative<ClientGone>(event)) {
+    attempt.end = AttemptEnd{Outcome::cancelled, 0, {}, true};
+    post(eiderarch::RequestGone{r.module_id});
+  } else if (r.streaming || std::holds_alternative<StreamStalled>(event)) {
+    // Its client's now: neither the module's command nor a deadline counts any more.
+    attempt.end = stream_step(r, event);
+  } else if (std::holds_alternative<Aborted>(event)) {
+    attempt.end = AttemptEnd{outcome_given_up(r.attempt->progress(), Outcome::cancelled), 0, {}, false};
+    attempt.aborted = true;
+  } else if (const auto* cancel = std::get_if<eiderarch::Cancel>(&event)) {
+    if (cancel->attempt == attempt.number) attempt.end = AttemptEnd{Outcome::cancelled, 0, {}, false};
+  } else if (std::holds_alternative<DeadlinePassed>(event) ||
+             std::holds_alternative<AttemptTimedOut>(event)) {
+    // What was not written whole never ran, and may be said to be harmless to repeat.
+    attempt.end = AttemptEnd{outcome_given_up(r.attempt->progress(), Outcome::timed_out), 0, {}, false};
+  } else if (std::holds_alternative<SendTooLate>(event) && r.attempt->progress() <= Progress::unwritten) {
+    // Its last byte would arrive outside the window in which the class may be repeated.
+    attempt.end = AttemptEnd{Outcome::not_connected, 0, {}, false};
+  }
+}
+
+void Conductor::close_attempt(Request& r, AttemptInHand& attempt) {
+  r.limit.reset();
+  r.too_late.reset();
+  r.stall.reset();
+  log_failure(r, attempt);
+  // Closed before anything else is sent, and heard of there: never two attempts out.
+  if (r.attempt && r.attempt->progress() >= Progress::written && !attempt.end->ended_there) {
+    r.closing_until = scheduler_.now() + kCloseTravels;
+  }
+  r.attempt.reset();
+  if (std::exchange(r.paced, false)) silence_.ended(r.engine);
+}
+
+void Conductor::account_for_execution(Request& r, const AttemptInHand& attempt) {
+  const Outcome outcome = attempt.end->outcome;
+  r.last = outcome;
+  if (!attempt.prefill) r.execution.note(attempt.place, outcome);
+  if (eiderarch::proves_not_executed(outcome) && std::exchange(r.execution_recorded, false)) {
+    r.reply->never_ran();
+  }
+}
+
+void Conductor::account_for_held_caches(Request& r, const AttemptInHand& attempt) {
+  const EngineId engine = attempt.order.engine;
+  const AttemptEnd& end = *attempt.end;
+  const bool never_ran = eiderarch::proves_not_executed(end.outcome);
+  const bool owes_release = std::exchange(r.owes_release, false);
+  if (attempt.prefill) {
+    if (end.outcome == Outcome::state_held) return;
+    held_.holds_nothing(r.id, engine);
+    // A prefill that was cut off may have ended well just then: its cache would stay pinned there.
+    if (!never_ran || owes_release) held_.release_at(r.id, r.ask.payload, engine);
+    return;
+  }
+  if (never_ran && owes_release) {
+    held_.release_at(r.id, r.ask.payload, engine);
+    return;
+  }
+  // Its connection may have fallen silent: then it has not heard that it was cut off either, and keeps the
+  // place and the cache that it fetched. What proves that it holds nothing is its own answer.
+  const bool unheard =
+      end.outcome == Outcome::timed_out || end.outcome == Outcome::cancelled || end.outcome == Outcome::reset;
+  if (unheard && !r.streaming && end.answer == nullptr && held_.may_hold_any(r.id)) {
+    held_.may_hold(r.id, r.ask.payload, engine);
+  }
+}
+
+bool Conductor::conclude_attempt(Request& r, AttemptInHand& attempt) {
+  AttemptEnd& end = *attempt.end;
+  if (r.streaming) {
+    if (!conclude_stream(r, attempt)) return false;
+  } else {
+    conclude_unanswered(r, end);
+  }
+  const bool barred = std::exchange(r.repeat_barred, false);
+  if (barred) fail_barred(r);
+  const bool over = barred || r.streaming || end.client_gone || end.answer != nullptr;
+  tell_module(r, attempt, over || attempt.aborted);
+  if (attempt.aborted && !over) r.inbox.push(Aborted{});
+  return over;
+}
+
+bool Conductor::conclude_stream(Request& r, AttemptInHand& attempt) {
+  if (end_stream(r, *attempt.end)) return true;
+  r.ending.told = attempt.end->told;
+  const bool may = repeat_safe(r) && r.attempts < settings_.module.limits.max_attempts;
+  const Onward onward = may ? r.reply->go_on() : Onward{};
+  switch (onward.what) {
+    case Onward::What::go_on:
+      tell_module(r, attempt, true);
+      resume(r, onward);
+      return false;
+    case Onward::What::finished:
+      ++figures_.served;
+      ++figures_.finished;
+      r.result = RequestRecord::Result::served;
+      r.reply->end();
+      return true;
+    case Onward::What::broken:
+      break;
+  }
+  break_off(r);
+  return true;
+}
+
+void Conductor::conclude_unanswered(Request& r, AttemptEnd& end) {
+  if (end.outcome == Outcome::served) {
+    // An answer without a single event: nothing was served, though it has run.
+    end.outcome = Outcome::error;
+  } else if (end.client_gone) {
+    ++figures_.gone;
+    r.result = RequestRecord::Result::gone;
+  } else if (end.answer != nullptr && r.resumed) {
+    break_off(r);  // the other instance does not take a begun answer
+  } else if (end.answer != nullptr) {
+    ++figures_.failed;
+    r.result = RequestRecord::Result::rejected;
+    r.reply->relay(*end.answer);
+  }
+}
+
+void Conductor::tell_module(const Request& r, AttemptInHand& attempt, bool final) {
+  AttemptEnd& end = *attempt.end;
+  post(eiderarch::AttemptEnded{r.module_id, attempt.number, attempt.order.engine, end.outcome,
+                               scheduler_.now() - attempt.sent, final, end.detail, std::move(end.report)});
+}
+
+Conductor::AttemptEnd Conductor::judge(const AttemptResult& result, bool prefill) {
+  AttemptEnd end;
+  end.outcome = outcome_of(result, prefill);
+  end.ended_there = !result.closed_here;
+  if (result.verdict == Verdict::broken) {
+    end.told = result.told;
+    return end;
+  }
+  const bool read = result.verdict == Verdict::served || result.verdict == Verdict::state_held;
+  end.detail = read ? result.found : result.verdict == Verdict::no_state ? 1 : 0;
+  end.report = result.report;
+  end.answer = result.answer;
+  return end;
+}
+
+void Conductor::log_failure(const Request& r, const AttemptInHand& attempt) const {
+  const AttemptEnd& end = *attempt.end;
+  const char* what = nullptr;
+  if (end.answer != nullptr) what = "rejected";
+  switch (end.outcome) {
+    case Outcome::error:
+      what = "error";
+      break;
+    case Outcome::timed_out:
+      what = "timed out";
+      break;
+    case Outcome::not_connected:
+      what = "not connected";
+      break;
+    case Outcome::reset:
+      what = "broken off";
+      break;
+    default:
+      break;
+  }
+  if (what == nullptr) return;
+  const Fleet::Member* member = fleet_.find(attempt.order.engine);
+  const Duration after = scheduler_.now() - attempt.sent;
+  log_("attempt", "request " + std::to_string(r.id) + " at " + (member != nullptr ? member->target.id : "?") +
+                      ": " + what + " after " + std::to_string(after.count() / 1000) + " ms" +
+                      (r.streaming ? ", within its stream" : ""));
+}
+
+// Asked by every kind of send but a release, at the last moment before its first byte: nothing is first sent
+// later than the drain's grace after it was told, connecting included.
+bool Conductor::may_send(EngineId engine) const {
+  const Fleet::Member* member = fleet_.find(engine);
+  if (member == nullptr || member->out) return false;
+  const Duration grace =
+      std::max<Duration>(settings_.module.rules.drain_grace - kDrainMargin - settings_.news_late, 0us);
+  return !member->told_off || scheduler_.now() - *member->told_off < grace;
+}
+
+void Conductor::reserve(Request& r, EngineId writer) {
+  const Fleet::Member* member = fleet_.find(writer);
+  if (member == nullptr || !may_send(writer)) return;
+  held_.reservation_asked(r.id, r.ask.payload, writer);
+  const int number = r.attempt_number();
+  instances_.claim(
+      member->target, r.ask.payload, [this, writer] { return may_send(writer); },
+      [this, id = r.id, module_id = r.module_id, number, writer,
+       payload = r.ask.payload](ClaimAnswer answer) {
+        const HeldCaches::Reservation worth = held_.reservation_answered(id, payload, writer);
+        const auto request = requests_.find(id);
+        if (worth == HeldCaches::Reservation::not_on_record) {
+          // Released while the call was out: it may have overtaken the release. Or the stream has begun at
+          // another instance, which released all that was held by then, and of this place no more.
+          const bool elsewhere = request == requests_.end() || request->second->engine != writer;
+          if (answer != ClaimAnswer::not_held && elsewhere) held_.release_at(id, payload, writer);
+          return;
+        }
+        if (worth == HeldCaches::Reservation::released) return;
+        if (answer == ClaimAnswer::unknown || request == requests_.end()) return;
+        const Request& now = *request->second;
+        if (now.module_id != module_id || now.attempt_number() != number || !now.attempt) return;
+        post(eiderarch::PlaceAnswer{module_id, number, writer, answer == ClaimAnswer::held});
+      });
+}
+
+bool Conductor::repeat_safe(const Request& r) const {
+  return request_class(r).effect == eiderarch::Effect::safe;
+}
+
+// One that the settings do not name is not to be repeated.
+eiderarch::RequestClass Conductor::request_class(const Request& r) const {
+  const std::uint32_t cls = r.ask.facts.request_class;
+  return cls < settings_.module.classes.size() ? settings_.module.classes[cls] : eiderarch::RequestClass{};
+}
+
+// Whether an attempt there has no effect: the list and the module have to agree on that, for an entry's kind
+// may change or be left out while a request waits.
+bool Conductor::at_prefill_instance(const eiderarch::Send& order) const {
+  const Fleet::Member* member = fleet_.find(order.engine);
+  return order.prefill && member != nullptr && member->entry.kind < settings_.module.kinds.size() &&
+         settings_.module.kinds[member->entry.kind].role == eiderarch::Role::reader;
+}
+
+ExecutionRecord::Place Conductor::place_of(EngineId engine, Time sent) const {
+  const Fleet::Member* member = fleet_.find(engine);
+  if (member == nullptr) return {0, 0, sent};
+  return {member->entry.zone, member->entry.cell, sent};
+}
+
+bool Conductor::may_execute_again(Request& r, EngineId engine) {
+  if (r.execution.permits(request_class(r), place_of(engine, scheduler_.now()))) return true;
+  r.repeat_barred = true;
+  return false;
+}
+
+void Conductor::fail_barred(Request& r) {
+  log_("guard", "request " + std::to_string(r.id) + " may have run: its class forbids what was to follow");
+  post(eiderarch::RequestGone{r.module_id});
+  if (r.resumed) return break_off(r);
+  fail(r, Ending::Cause::failed);
+}
+
+// A close is heard by the instance only some time later. A further attempt that overtook it would be a second
+// one out, and a refusal would call a request harmless that is still at work somewhere.
+bool Conductor::postpone(Request& r, const RequestEvent& event) {
+  const bool abandons = std::holds_alternative<Aborted>(event);
+  const bool ends_by_itself =
+      std::holds_alternative<ClientGone>(event) || std::holds_alternative<DecisionOverdue>(event);
+  if (r.aborted && !abandons && !ends_by_itself) return true;  // and it does not come again
+  r.aborted |= abandons;
+  const bool refuses = abandons || std::holds_alternative<eiderarch::Refuse>(event);
+  const bool overtakes = std::holds_alternative<eiderarch::Send>(event) || (refuses && !repeat_safe(r));
+  if (!overtakes || scheduler_.now() >= r.closing_until) return false;
+  r.postponed = scheduler_.at(r.closing_until, [this, &r, event] {
+    reap_soon();
+    r.inbox.push(event);  // last: it may destroy this timer
+  });
+  return true;
+}
+
+const Ending& Conductor::ends(Request& r, RequestRecord::Result result, Ending::Cause cause,
+                              Duration stay_away) {
+  r.result = result;
+  r.ending = {cause, r.execution.may_have_executed(), repeat_safe(r), stay_away, r.ending.told, r.last};
+  return r.ending;
+}
+
+void Conductor::refuse(Request& r, Ending::Cause cause, Duration stay_away) {
+  ++figures_.refused;
+  r.reply->refuse(ends(r, RequestRecord::Result::refused, cause, stay_away));
+}
+
+void Conductor::fail(Request& r, Ending::Cause cause) {
+  ++figures_.failed;
+  r.reply->fail(ends(r, RequestRecord::Result::failed, cause));
+}
+
+void Conductor::tell_end(const Request& r) {
+  figures_.count_end(r.ask.facts.request_class, r.result);
+  if (!observer_) return;
+  const Fleet::Member* member = r.attempts > 0 ? fleet_.find(r.engine) : nullptr;
+  observer_({r.ask, r.result, r.ending, member != nullptr ? member->target.id : "", r.attempts,
+             r.first ? *r.first - r.arrived : Duration{-1}, scheduler_.now() - r.arrived});
+}
+
+}  // namespace bankmux::core
--- /dev/null
+++ b/src/core/shutdown.cpp
@@ -0,0 +1,96 @@
+#include <utility>
+
+#include "core/conductor.hpp"
+
+namespace bankmux::core {
+
+using eiderarch::Outcome;
+
+void Conductor::abandon() {
+  given_up_ = true;
+  for (auto& [id, r] : requests_) {
+    if (!r->streaming && !r->resumed && !r->lifecycle.done()) r->inbox.push(Aborted{});
+  }
+}
+
+// Refused where it is known to do no harm to try again, else failed.
+void Conductor::answer_aborted(Request& r) {
+  if (r.execution.permits_refusal(request_class(r))) {
+    refuse(r, Ending::Cause::refused);
+  } else {
+    fail(r, Ending::Cause::failed);
+  }
+}
+
+std::size_t Conductor::pass_streams(const std::function<bool(const RunningStream&)>& take) {
+  std::size_t count = 0;
+  for (auto& [id, owned] : requests_) {
+    Request& r = *owned;
+    if (!r.streaming || r.resumed || r.lifecycle.done() || !r.attempt) continue;
+    std::optional<Passed> client = r.reply->passed();
+    std::optional<Passed> instance = client ? r.attempt->passed() : std::nullopt;
+    const Fleet::Member* member = fleet_.find(r.engine);
+    if (!instance || member == nullptr) continue;
+    const Time now = scheduler_.now();
+    if (!take({r.ask, member->target.id, r.attempts, now - r.arrived, *r.first - r.arrived,
+               std::move(*client), std::move(*instance)})) {
+      continue;  // that one not, or not now
+    }
+    r.reply->let_go();
+    r.inbox.push(PassedOn{});
+    ++count;
+  }
+  return count;
+}
+
+RequestId Conductor::take_over(const RunningStream& stream, std::unique_ptr<ClientReply> reply,
+                               const MakeAttempt& make) {
+  ++figures_.taken_over;
+  auto owned = std::make_unique<Request>();
+  Request& r = *owned;
+  r.ask = stream.ask;
+  r.reply = std::move(reply);
+  r.id = r.module_id = r.ask.facts.id = ++last_id_;
+  r.arrived = scheduler_.now() - stream.age;
+  r.first = r.arrived + stream.first;
+  r.streaming = true;
+  r.execution.assume_executed();
+  r.attempts = stream.attempts;
+  for (const auto& [engine, member] : fleet_.members()) {
+    if (member.target.id == stream.box) r.engine = engine;
+  }
+  r.attempt = make(r);
+  const RequestId id = r.id;
+  requests_.emplace(id, std::move(owned));
+  if (!r.attempt) r.inbox.push(AttemptResult{});
+  r.lifecycle = follow(r);
+  return id;
+}
+
+// A stream that another process of this conductor began, from here to its end.
+Task Conductor::follow(Request& r) {
+  expect_more(r, settings_.stall_limit);
+  std::optional<AttemptEnd> end;
+  while (!end) {
+    RequestEvent event = co_await r.inbox.next();
+    if (const auto* result = std::get_if<AttemptResult>(&event)) {
+      end = judge(*result, false);
+    } else if (std::holds_alternative<ClientGone>(event)) {
+      end = AttemptEnd{Outcome::cancelled, 0, {}, true};
+    } else {
+      end = stream_step(r, event);
+    }
+  }
+  r.stall.reset();
+  r.attempt.reset();
+  r.last = end->outcome;
+  if (!end_stream(r, *end)) {
+    r.ending.told = end->told;
+    break_off(r);
+  }
+  r.reply.reset();
+  tell_end(r);
+  reap_soon();  // from in here it cannot be dropped
+}
+
+}  // namespace bankmux::core
--- /dev/null
+++ b/src/core/stream.cpp
@@ -0,0 +1,126 @@
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "core/conductor.hpp"
+
+namespace bankmux::core {
+
+using namespace std::chrono_literals;
+using eiderarch::Outcome;
+
+namespace {
+
+constexpr Duration kLostStall = 3s;  // patience with a stream whose instance the list no longer knows
+
+}  // namespace
+
+void Conductor::begin_stream(Request& r, const AttemptInHand& attempt) {
+  r.streaming = true;
+  if (!r.first) r.first = scheduler_.now();
+  r.deadline.reset();
+  r.overdue.reset();
+  r.limit.reset();
+  r.last_event.reset();
+  if (!r.resumed) r.reply->begin();
+  r.paced = r.reply->may_go_on();
+  if (r.paced) silence_.began(attempt.order.engine);
+  held_.forget(r.id);
+  post(eiderarch::StreamStarted{r.module_id, attempt.number, attempt.order.engine,
+                                scheduler_.now() - attempt.sent});
+}
+
+std::optional<Conductor::AttemptEnd> Conductor::stream_step(Request& r, RequestEvent& event) {
+  if (const auto* data = std::get_if<AnswerData>(&event)) {
+    note_event(r);
+    r.reply->data(data->bytes);
+    if (r.reply->garbled()) return AttemptEnd{Outcome::cancelled, 0, {}, false};
+    // Guards memory: a fast instance must not fill it for a client that reads slowly.
+    if (r.reply->behind([&r] { r.inbox.push(ClientCaughtUp{}); })) {
+      r.attempt->pause(true);
+      r.stall.reset();  // it is the client that waits now, not the instance
+      r.last_event.reset();
+    }
+  } else if (std::holds_alternative<ClientCaughtUp>(event)) {
+    r.attempt->pause(false);
+    expect_more(r, settings_.stall_limit);
+  } else if (std::holds_alternative<InstanceLost>(event)) {
+    // A vanished machine resets nothing: its stream would stay open for ever.
+    expect_more(r, kLostStall);
+  } else if (std::holds_alternative<StreamStalled>(event)) {
+    if (suspects(r)) {
+      const Duration silent = scheduler_.now() - *r.last_event;
+      const Duration more = silence_.judge(r.engine, scheduler_.now(), silent);
+      if (more > 0us) {
+        expect_more(r, more);
+        return std::nullopt;
+      }
+      ++figures_.suspected;
+    }
+    return AttemptEnd{Outcome::reset, 0, {}, false};
+  } else if (std::holds_alternative<PassedOn>(event)) {
+    return AttemptEnd{Outcome::cancelled, 0, {}, false, false, {}, true};
+  }
+  return std::nullopt;
+}
+
+bool Conductor::end_stream(Request& r, const AttemptEnd& end) {
+  if (end.passed_on) {
+    ++figures_.passed_on;
+    r.result = RequestRecord::Result::passed_on;
+  } else if (end.client_gone) {
+    ++figures_.gone;
+    r.result = RequestRecord::Result::gone;
+  } else if (end.outcome == Outcome::served) {
+    ++figures_.served;
+    r.result = RequestRecord::Result::served;
+    if (r.resumed) ++figures_.saved;
+    r.reply->end();
+  } else {
+    return false;
+  }
+  return true;
+}
+
+void Conductor::break_off(Request& r) {
+  ++figures_.broken;
+  r.reply->abort(ends(r, RequestRecord::Result::broken, Ending::Cause::broke_off));
+}
+
+void Conductor::resume(Request& r, const Onward& onward) {
+  ++figures_.continued;
+  r.resumed = true;
+  r.streaming = false;
+  r.ending.told = false;
+  r.attempts_before = r.attempts;
+  r.ask.payload = onward.payload;
+  eiderarch::RequestArrived& facts = r.ask.facts;
+  r.module_id = facts.id = ++last_id_;
+  aliases_[r.module_id] = r.id;
+  facts.resumed = true;
+  facts.lost_at = r.engine;
+  facts.prompt_tokens += onward.written - r.tokens_written;
+  r.tokens_written = onward.written;
+  if (onward.left > 0) facts.max_output = onward.left;
+  facts.deadline = scheduler_.now() + onward.patience;
+  watch_deadline(r);
+  post(facts);
+}
+
+// The next event of a stream is due by then.
+void Conductor::expect_more(Request& r, Duration patience) {
+  r.stall = scheduler_.at(scheduler_.now() + patience, [&r] { r.inbox.push(StreamStalled{}); });
+}
+
+bool Conductor::suspects(const Request& r) const {
+  return r.last_event && repeat_safe(r) && r.reply->may_go_on();
+}
+
+void Conductor::note_event(Request& r) {
+  const Time now = scheduler_.now();
+  if (r.paced && r.last_event) silence_.event(r.engine, now, now - *r.last_event);
+  r.last_event = now;
+  expect_more(r, suspects(r) ? silence_.limit(r.engine) : settings_.stall_limit);
+}
+
+}  // namespace bankmux::core
