Hold the terms on told changes, on clients that have left and on the time told to a server

- 6 s from discovery to told, whatever call failed: backoff_for (src/net/platform/backoff.cpp) let a fleet of 190 or more wait up to 30 s after a refused call, and 50 conductors 8 s.
- No attempt for a client that has left: at the first byte, however long the dial took, the system is asked for the client's close (poll for POLLRDHUP, seen behind unread bytes too), and the clock for the end of its time: a loop that was held up hears of a connection that is up before it hears of either.
- X-Remaining-Ms was worded before the dial (HttpAttempt's constructor); now at the first byte, from the moment the client's time or the module's limit ends.
Instances::start is given that moment in place of a duration.

--- a/src/core/ports.hpp
+++ b/src/core/ports.hpp
@@ -88,6 +88,9 @@
 class ClientReply {
  public:
   virtual ~ClientReply() = default;
+  // Whether its client has closed its connection, or its half of it, as the system knows it: in a loop that
+  // was held up, word of that may still be on its way here.
+  [[nodiscard]] virtual bool client_closed() const { return false; }
   // An attempt that may run the request is about to be written to an instance: not one byte has left yet.
   virtual void sending() {}
   // What `sending` told of has ended, and proved not to have run.
@@ -174,9 +177,10 @@
 class Instances {
  public:
   virtual ~Instances() = default;
-  // `may_write` is asked once the connection is up, before the first byte.
+  // `may_write` is asked once the connection is up, before the first byte. The instance is told how long it
+  // has from that byte to `not_after`.
   [[nodiscard]] virtual std::unique_ptr<Attempt> start(const Target& target, const PayloadPtr& payload,
-                                                       Duration patience, ConnectionTerms terms,
+                                                       Time not_after, ConnectionTerms terms,
                                                        std::function<bool()> may_write,
                                                        AttemptEvents& events) = 0;
   // Asks a writer to hold a place.
--- a/src/core/request_lifecycle.cpp
+++ b/src/core/request_lifecycle.cpp
@@ -119,8 +119,13 @@
   r.engine = order.engine;
   r.execution_recorded = false;
   if (order.by > 0us) r.too_late = scheduler_.at(order.by, [&r] { r.inbox.push(SendTooLate{}); });
-  const auto may_write = [this, &r, prefill = attempt.prefill, engine = order.engine, by = order.by] {
+  const Time not_after = now + patience;
+  const auto may_write = [this, &r, prefill = attempt.prefill, engine = order.engine, by = order.by,
+                          not_after] {
     if (!may_send(engine) || (by > 0us && scheduler_.now() >= by)) return false;
+    // A dial takes time, and a loop that was held up hears of a connection that is up before it hears of a
+    // client that has left or of a time that is over.
+    if (scheduler_.now() >= not_after || r.reply->client_closed()) return false;
     // Whoever keeps account of what may have run has it on record before the first byte.
     if (!prefill && !may_execute_again(r, engine)) return false;
     if (!prefill && !std::exchange(r.execution_recorded, true)) r.reply->sending();
@@ -129,7 +134,7 @@
   // A prefill has no effect, and new connections cost busy prefill instances dear.
   const bool harmless = attempt.prefill || repeat_safe(r);
   const ConnectionTerms terms{harmless, harmless};
-  r.attempt = instances_.start(member->target, r.ask.payload, patience, terms, may_write, r);
+  r.attempt = instances_.start(member->target, r.ask.payload, not_after, terms, may_write, r);
   return true;
 }
 
--- a/src/net/http/http_connection.cpp
+++ b/src/net/http/http_connection.cpp
@@ -3,6 +3,7 @@
 #include <event2/bufferevent.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -310,6 +311,12 @@
   return *connection_;
 }
 
+bool Incoming::client_closed() const {
+  if (state_ == State::over) return false;
+  pollfd client{bufferevent_getfd(connection_->stream_.get()), POLLRDHUP, 0};
+  return poll(&client, 1, 0) > 0;
+}
+
 bool Incoming::hold(std::size_t bytes) {
   HttpServer& server = connection_->server_;
   if (server.body_bytes_ + bytes > server.limits_.body_bytes) return false;
--- a/src/net/http/http_reply.hpp
+++ b/src/net/http/http_reply.hpp
@@ -16,6 +16,7 @@
  public:
   explicit HttpReply(std::unique_ptr<Incoming> incoming) : incoming_(std::move(incoming)) {}
 
+  [[nodiscard]] bool client_closed() const override { return incoming_->client_closed(); }
   void refuse(const core::Ending& ending) override;
   void fail(const core::Ending& ending) override;
   void relay(const core::Answer& answer) override;
--- a/src/net/http/http_server.hpp
+++ b/src/net/http/http_server.hpp
@@ -38,6 +38,8 @@
   [[nodiscard]] const Headers& headers() const { return head_.headers(); }
   [[nodiscard]] std::string take_body() { return std::move(body_); }
 
+  // Whether the client has closed its connection, or its half of it, though the loop may not have told yet.
+  [[nodiscard]] bool client_closed() const;
   void on_gone(std::function<void()> gone) { gone_ = std::move(gone); }
   // Counts more bytes held for this request until it is answered; false where all together would be too many.
   [[nodiscard]] bool hold(std::size_t bytes);
--- a/src/net/instances/instance_client.cpp
+++ b/src/net/instances/instance_client.cpp
@@ -108,7 +108,7 @@
 class HttpAttempt : public core::Attempt, private Exchange::Events {
  public:
   HttpAttempt(Loop& loop, InstancePool& pool, const core::Target& target, const core::PayloadPtr& payload,
-              Duration patience, core::ConnectionTerms terms, std::function<bool()> may_write,
+              core::Time not_after, core::ConnectionTerms terms, std::function<bool()> may_write,
               core::AttemptEvents& events, Dialect dialect)
       : loop_(loop),
         may_write_(std::move(may_write)),
@@ -116,8 +116,12 @@
         dialect_(dialect),
         streamed_(payload->streamed),
         most_body_(dialect == Dialect::platform ? kMostBody : kMostAnswer),
-        exchange_(pool, target.address, request_head(target, *payload, patience, dialect),
-                  {payload, &payload->body}, terms, *this) {}
+        exchange_(
+            pool, target.address,
+            [&loop, target, payload, not_after, dialect] {
+              return request_head(target, *payload, not_after - loop.now(), dialect);
+            },
+            {payload, &payload->body}, terms, *this) {}
 
   // In the middle of a stream of the platform's, that another process began.
   HttpAttempt(Loop& loop, InstancePool& pool, const std::string& address, int descriptor,
@@ -289,8 +293,9 @@
       : may_write_(std::move(may_write)),
         done_(std::move(done)),
         limit_(loop.at(loop.now() + kCallPatience, [this] { on_end(false); })),
-        exchange_(std::make_unique<Exchange>(pool, address, std::move(request), nullptr,
-                                             core::ConnectionTerms{true, true}, *this)) {}
+        exchange_(std::make_unique<Exchange>(
+            pool, address, [text = std::move(request)] { return text; }, nullptr,
+            core::ConnectionTerms{true, true}, *this)) {}
 
   [[nodiscard]] const ResponseParser& response() const { return exchange_->response(); }
   [[nodiscard]] Progress progress() const { return exchange_->progress(); }
@@ -331,11 +336,11 @@
 }
 
 std::unique_ptr<core::Attempt> InstanceClient::start(const core::Target& target,
-                                                     const core::PayloadPtr& payload, Duration patience,
+                                                     const core::PayloadPtr& payload, core::Time not_after,
                                                      core::ConnectionTerms terms,
                                                      std::function<bool()> may_write,
                                                      core::AttemptEvents& events) {
-  return std::make_unique<HttpAttempt>(loop_, pool_, target, payload, patience, terms, std::move(may_write),
+  return std::make_unique<HttpAttempt>(loop_, pool_, target, payload, not_after, terms, std::move(may_write),
                                        events, dialect_);
 }
 
--- a/src/net/instances/instance_client.hpp
+++ b/src/net/instances/instance_client.hpp
@@ -21,7 +21,7 @@
   ~InstanceClient() override;
 
   std::unique_ptr<core::Attempt> start(const core::Target& target, const core::PayloadPtr& payload,
-                                       core::Duration patience, core::ConnectionTerms terms,
+                                       core::Time not_after, core::ConnectionTerms terms,
                                        std::function<bool()> may_write, core::AttemptEvents& events) override;
   // Goes on with an attempt in the middle of its stream, as another process passed it on; takes the
   // descriptor. Null where the state can't be read.
--- a/src/net/instances/instance_pool.cpp
+++ b/src/net/instances/instance_pool.cpp
@@ -49,7 +49,7 @@
 
 // ---- Exchange ----
 
-Exchange::Exchange(InstancePool& pool, std::string address, std::string head,
+Exchange::Exchange(InstancePool& pool, std::string address, HeadWriter head,
                    std::shared_ptr<const std::string> body, core::ConnectionTerms terms, Events& events)
     : pool_(pool),
       address_(std::move(address)),
@@ -151,8 +151,8 @@
   if (!events_.may_write()) return end(false);
   progress_ = Progress::unwritten;
   bufferevent_enable(connection_.get(), EV_READ | EV_WRITE);
-  bufferevent_write(connection_.get(), head_.data(), head_.size());
-  head_ = {};
+  const std::string head = std::exchange(head_, {})();
+  bufferevent_write(connection_.get(), head.data(), head.size());
   if (body_ != nullptr && !body_->empty()) write_body();
 }
 
--- a/src/net/instances/instance_pool.hpp
+++ b/src/net/instances/instance_pool.hpp
@@ -2,6 +2,7 @@
 // not evhttp's client: see docs/architecture.md for what was measured.
 #pragma once
 
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -33,8 +34,10 @@
     virtual void on_end(bool whole) = 0;
   };
 
-  // `head`: the request's head, or a whole request without a body. `body` is shared, not copied.
-  Exchange(InstancePool& pool, std::string address, std::string head, std::shared_ptr<const std::string> body,
+  // Words a request's head, or a whole request without a body; called once, before its first byte is written.
+  using HeadWriter = std::function<std::string()>;
+  // `body` is shared, not copied.
+  Exchange(InstancePool& pool, std::string address, HeadWriter head, std::shared_ptr<const std::string> body,
            core::ConnectionTerms terms, Events& events);
   // Goes on with one whose response another process has read so far; takes the descriptor.
   Exchange(InstancePool& pool, std::string address, int descriptor, const ResponseParser::Place& place,
@@ -67,7 +70,7 @@
 
   InstancePool& pool_;
   std::string address_;
-  std::string head_;
+  HeadWriter head_;
   std::shared_ptr<const std::string> body_;
   Events& events_;
   BufferEventPtr connection_;
--- a/src/net/platform/backoff.cpp
+++ b/src/net/platform/backoff.cpp
@@ -10,12 +10,10 @@
 
 // A small fleet: the first wait is a round trip or two, and one is back within 2 s of discovery's return.
 constexpr Backoff kAlone{100ms, 2s};
-// Each conductor's part: a fleet refused throughout calls about 8 times a second in all, 12 at the most.
+// Each conductor's part: up to 25 conductors refused throughout call about 8 times a second in all, 12 at the
+// most; beyond that the limit on a wait counts.
 constexpr core::Duration kFirstEach = 20ms;
 constexpr core::Duration kMostEach = 160ms;
-// Within the 40 s after a failed call from which a conductor without a watch counts as told what was listed.
-constexpr core::Duration kLongest = 30s;
-
 // With the time that a call may stay silent well under half a second: the shortest drain's grace is 1 s.
 constexpr Backoff kAtHand{100ms, 200ms};
 
@@ -25,11 +23,15 @@
 
 Backoff backoff_for(unsigned conductors) {
   const auto scaled = [conductors](core::Duration each, core::Duration least) {
-    return std::clamp(each * static_cast<core::Duration::rep>(conductors), least, kLongest);
+    return std::clamp(each * static_cast<core::Duration::rep>(conductors), least, kMostAfterRefusal);
   };
   return {scaled(kFirstEach, kAlone.first), scaled(kMostEach, kAlone.most)};
 }
 
+Backoff Backoff::at_most(core::Duration limit) const {
+  return {std::min(first, limit), std::min(most, limit)};
+}
+
 core::Duration Backoff::wait(int failures, double unit) const {
   if (failures <= 0) return core::Duration{0};
   core::Duration ceiling = first;
--- a/src/net/platform/discovery_watch.cpp
+++ b/src/net/platform/discovery_watch.cpp
@@ -75,17 +75,19 @@
 }
 
 void DiscoveryWatch::ended(evhttp_request* answer) {
-  if (answer != nullptr && evhttp_request_get_response_code(answer) >= 400) shared_ = true;
-  failed();
+  const bool refused = answer != nullptr && evhttp_request_get_response_code(answer) >= 400;
+  shared_ |= refused;
+  failed(refused);
 }
 
 // A watch that brought lines had worked, and its end is no failure; one that brought none, refused or broken,
 // is. So the first refusal after an end that a whole fleet saw is not taken for the second.
-void DiscoveryWatch::failed() {
+void DiscoveryWatch::failed(bool refused) {
   silent_.reset();
   const bool worked = std::exchange(heard_, false);
   failures_ = worked ? 0 : failures_ + 1;
-  const Backoff backoff = shared_ ? backoff_shared_ : backoff_at_hand();
+  const Backoff shared = refused ? backoff_shared_ : backoff_shared_.at_most(kMostAfterSilence);
+  const Backoff backoff = shared_ ? shared : backoff_at_hand();
   const double unit = std::uniform_real_distribution<double>(0.0, 1.0)(draw_);
   core::Duration wait = backoff.wait(std::max(1, failures_), unit);
   if (worked) wait = std::min(wait, kReopen * static_cast<core::Duration::rep>(unit * 1000.0) / 1000);
--- a/src/net/platform/discovery_watch.hpp
+++ b/src/net/platform/discovery_watch.hpp
@@ -33,7 +33,8 @@
   void line(const std::string& text);
   void again(core::Duration wait);
   void ended(evhttp_request* answer);
-  void failed();
+  // `refused`: discovery has answered the call, with an error.
+  void failed(bool refused = false);
 
   Loop& loop_;
   const config::Config& config_;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -46,6 +46,28 @@
   CHECK_FALSE(w.instances.out->may_write());
 }
 
+TEST_CASE("Core: nothing is begun for a client that has closed though its going has not been told") {
+  World w;
+  w.list("w", 2);
+  w.ask(0, 100);
+  REQUIRE(w.instances.out != nullptr);
+  CHECK(w.instances.out->may_write());
+  w.client_closed = true;
+  CHECK_FALSE(w.instances.out->may_write());
+}
+
+TEST_CASE("Core: nothing is begun past its client's time though the loop has not told of that") {
+  World w;
+  w.list("w", 2);
+  w.ask(0, 100, 1s);
+  REQUIRE(w.instances.out != nullptr);
+  CHECK(w.instances.out->not_after == w.time.now() + 1s);
+  const auto may_write = w.instances.out->may_write;
+  CHECK(may_write());
+  w.time.hold_up(1s);
+  CHECK_FALSE(may_write());
+}
+
 TEST_CASE("Core: a repeat is not begun after its class's window, nor its last byte sent after that") {
   World w;
   w.list("a", 2);
--- a/tests/fake_time.hpp
+++ b/tests/fake_time.hpp
@@ -39,6 +39,8 @@
       for (const auto& run : std::exchange(soon_, {})) run();
     }
   }
+  // The loop is held up: time goes on, and no timer strikes yet.
+  void hold_up(Duration time) { now_ += time; }
   // Goes on in small steps, or, as a loop that is late would, at once.
   void pass(Duration time, bool late = false) {
     const Time end = now_ + time;
