Leave unread what crosses the end of a silent or resting connection

Change: reading stops with the end of a resting or silent connection. What crosses it stays unread, and the close 100 ms (at shutdown) or 500 ms later resets the connection, so the client knows. A client that has closed its own side is seen by poll, so that such a connection is not waited for. After a last answer, whose `Connection: close` the client was given, bytes are read and dropped as before, so that the answer arrives whole.

Tests: "Crossing: a request that meets the end of a resting connection" now also wants the reset, and the same for a silent one is new; both fail in the program before.

--- a/src/net/http/http_connection.cpp
+++ b/src/net/http/http_connection.cpp
@@ -138,9 +138,12 @@
     }
     case Phase::idle:
       return age(now) >= kIdleTime && quiet();
-    case Phase::ending:
-      return age(now) >= (server_.winding_down_ ? kLingerAtEnd : kLinger) &&
-             evbuffer_get_length(bufferevent_get_output(stream_.get())) == 0;
+    case Phase::ending: {
+      if (evbuffer_get_length(bufferevent_get_output(stream_.get())) > 0) return false;
+      // Unread, the client's end is not told by the loop.
+      if (unread_ && client_closed()) return true;
+      return age(now) >= (server_.winding_down_ ? kLingerAtEnd : kLinger);
+    }
     case Phase::answering:
       break;
   }
@@ -166,7 +169,16 @@
   end_resting();
 }
 
-void HttpConnection::end_resting() { finish(); }
+void HttpConnection::end_resting() {
+  unread_ = true;
+  bufferevent_disable(stream_.get(), EV_READ);
+  finish();
+}
+
+bool HttpConnection::client_closed() const {
+  pollfd client{bufferevent_getfd(stream_.get()), POLLRDHUP, 0};
+  return poll(&client, 1, 0) > 0;
+}
 
 void HttpConnection::read() {
   evbuffer* input = bufferevent_get_input(stream_.get());
@@ -311,11 +323,7 @@
   return *connection_;
 }
 
-bool Incoming::client_closed() const {
-  if (state_ == State::over) return false;
-  pollfd client{bufferevent_getfd(connection_->stream_.get()), POLLRDHUP, 0};
-  return poll(&client, 1, 0) > 0;
-}
+bool Incoming::client_closed() const { return state_ != State::over && connection_->client_closed(); }
 
 bool Incoming::hold(std::size_t bytes) {
   HttpServer& server = connection_->server_;
--- a/src/net/http/http_connection.hpp
+++ b/src/net/http/http_connection.hpp
@@ -26,9 +26,11 @@
   // Bytes that nobody has read yet may be a request, which is still to be answered.
   [[nodiscard]] bool quiet() const;
   void time_out();
-  // Ends a connection on which no request is pending. What crosses this is read and forgotten, never handled:
-  // its client sends it once more elsewhere.
+  // Ends a connection on which no request is pending. What crosses this is not read, so that its client hears
+  // of a reset and sends it once more elsewhere: a request that was read would be lost.
   void end_resting();
+  // Whether the client has closed its side, though the loop may not have told yet.
+  [[nodiscard]] bool client_closed() const;
   // In the middle of a stream that another process began, of which the client has not been sent `unsent` yet.
   void go_on(bool chunked, bool last, std::string_view unsent);
 
@@ -57,7 +59,8 @@
   core::Time since_;  // of the phase; reading counts from accept on a new connection
   bool last_ = false;
   bool chunked_ = false, bodyless_ = false;
-  bool reset_ = false;  // to be reset once what was given is out
+  bool reset_ = false;   // to be reset once what was given is out
+  bool unread_ = false;  // what still comes stays unread, see end_resting
   std::size_t thrown_away_ = 0;
   core::Time ended_{0};  // when it entered its last phase
 };
--- a/tests/stories/crossing_stories.cpp
+++ b/tests/stories/crossing_stories.cpp
@@ -215,11 +215,36 @@
   platform.program().terminate();
   REQUIRE(resting->closed_within(3000));
   resting->send(client_request("crossing", "consulta", 5000, 100));
+  CHECK(resting->reset_within(3000));  // not read: its client may send it again
   CHECK(resting->receive_all().empty());
   CHECK(platform.program().wait() == 0);
   CHECK(seen.all() == std::vector<std::string>{"first"});
 }
 
+// Read, a request on a new connection that is ended for its silence would be lost.
+TEST_CASE("Crossing: a request that meets the end of a silent connection is not read") {
+  Record seen;
+  Peer box(serving(seen));
+  Platform platform({{"w", "mixto", box.address()}});
+  const auto silent = platform.connect();
+  REQUIRE(silent->closed_within(5000));
+  silent->send(client_request("crossing", "consulta", 5000, 100));
+  CHECK(silent->reset_within(3000));
+  CHECK(silent->receive_all().empty());
+  CHECK(seen.all().empty());
+}
+
+TEST_CASE("Crossing: a resting connection whose client closes as it is ended is not waited for") {
+  Platform platform({});
+  const auto resting = platform.connect();
+  resting->send("GET /-/ready HTTP/1.1\r\n\r\n");
+  CHECK(resting->receive_head().status() == 200);
+  platform.program().terminate();
+  REQUIRE(resting->closed_within(3000));
+  resting->close();
+  CHECK(platform.program().wait() == 0);
+}
+
 // ---- The list ----
 
 TEST_CASE("Crossing: a list that comes indented, in pieces, counts like any other") {
--- a/tests/stories/peers.cpp
+++ b/tests/stories/peers.cpp
@@ -135,6 +135,16 @@
   return poll(&ready, 1, ms) > 0 && (ready.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+bool Wire::reset_within(int ms) const {
+  const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(ms);
+  while (std::chrono::steady_clock::now() < until) {
+    // Waits for errors alone: that the other side says no more has been told already.
+    pollfd ended{socket_, 0, 0};
+    if (poll(&ended, 1, 10) > 0 && (ended.revents & POLLERR) != 0) return true;
+  }
+  return false;
+}
+
 void Wire::close() {
   const std::lock_guard lock(closing_);
   if (socket_ >= 0) ::close(std::exchange(socket_, -1));
--- a/tests/stories/peers.hpp
+++ b/tests/stories/peers.hpp
@@ -41,6 +41,9 @@
   std::string receive_all();
   // Whether the other side closes within the time.
   [[nodiscard]] bool closed_within(int ms) const;
+  // Whether the other side resets the connection within the time, as one does that closes it with bytes
+  // unread.
+  [[nodiscard]] bool reset_within(int ms) const;
   void close();
   void reset();             // so that the other side sees a reset
   void half_close() const;  // this side says no more, and reads on
