Test the slow-start budget over 1 to 300 processes, and split the router's tests by concern

tests/slow_start_test.cpp sums what all processes send to a server that has just started, in every window of the time that the settings name, against the operators' N calls + 2 sqrt N + 2 (under 30 calls 3 sqrt N + 3), with 1, 3, 8, 30 and 300 processes, equal and unequal traffic, and attempts that fail at warm servers and are made again. N follows what a warm server gets and the share that the settings give a cold one by its age. Stale lists, probes and releases are not in it.

--- /dev/null
+++ b/tests/router_list_test.cpp
@@ -0,0 +1,161 @@
+// Lists of servers, servers in slow start, and settings of every kind.
+#include <gtest/gtest.h>
+
+#include "eiderarch/router.hpp"
+#include "front.hpp"
+
+namespace eiderarch::test {
+namespace {
+
+TEST(Lists, DrainingServerGetsNothingNew) {
+  Front f;
+  auto draining = entry(kReaderA, 0, 0);
+  draining.state = EngineState::draining;
+  f.give({ListChanged{ListScope::changes, {draining}}});
+  for (RequestId id = 1; id < 6; ++id) {
+    f.arrive(id);
+    EXPECT_NE(f.sent(), kReaderA);
+  }
+}
+
+TEST(Lists, AbsentFromACompleteListIsGone) {
+  Front f;
+  f.give({ListChanged{ListScope::complete, {entry(kReaderB, 0, 1), entry(kWriterB, 1, 1)}}});
+  f.arrive(1);
+  EXPECT_EQ(f.sent(), kReaderB);
+}
+
+TEST(Lists, StaleDiskListIsCorrectedByFailures) {
+  Front f;
+  f.arrive(1);
+  const auto dead = f.sent();
+  f.end(1, 0, *dead, Outcome::not_connected);
+  EXPECT_NE(f.sent(), dead);
+  f.arrive(2);
+  EXPECT_NE(f.sent(), dead);
+}
+
+TEST(Lists, OnRequestListsAreSubscribedAndAskedAgainAfterAFailure) {
+  Settings s = plain_settings();
+  s.list_mode = ListMode::on_request;
+  Front f(s);
+  EXPECT_EQ(f.logged<Subscribe>(), 1);
+  f.give({ListChanged{ListScope::failed, {}}});
+  f.run(2s);
+  EXPECT_EQ(f.logged<Subscribe>(), 2);
+}
+
+TEST(Lists, WithNoReaderTheWriterReads) {
+  Front f(plain_settings(), {entry(kWriterA, 1, 0)});
+  f.arrive(1);
+  EXPECT_EQ(f.sent(), kWriterA);
+}
+
+TEST(Lists, AWriterThatMayNotReadIsNeverAskedTo) {
+  Settings s = plain_settings();
+  s.writers_read = false;
+  Front f(s, {entry(kWriterA, 1, 0)});
+  f.arrive(1);
+  f.run(7s);
+  EXPECT_EQ(f.logged<Send>(), 0);
+  EXPECT_EQ(f.logged<Refuse>(), 1);
+}
+
+TEST(Cold, AFreshServerGetsFewSends) {
+  Settings s = plain_settings();
+  auto list = plain_list();
+  Front f(s, {list[0], list[2], list[3]});
+  auto fresh = entry(kReaderB, 0, 1);
+  fresh.started = f.now;
+  f.give({ListChanged{ListScope::changes, {fresh}}});
+  int to_fresh = 0;
+  for (RequestId id = 1; id <= 10; ++id) {
+    f.arrive(id);
+    to_fresh += f.sent() == kReaderB;
+  }
+  EXPECT_LE(to_fresh, 4);
+}
+
+// One of `fronts` fronts is told of a fresh reader among `warm` other ones and gets a request a second.
+int sends_to_a_fresh_reader(std::uint32_t fronts, std::uint64_t seed, Duration length, EngineId warm) {
+  Settings s = plain_settings();
+  s.fronts = fronts;
+  s.seed = seed;
+  std::vector<EngineEntry> list;
+  for (EngineId id = 1; id <= warm + 1; ++id) list.push_back(entry(id, 0, 0));
+  for (EngineId id = 6; id <= 10; ++id) list.push_back(entry(id, 1, 0));
+  Front f(s, list);
+  list[0].started = f.now;
+  f.give({ListChanged{ListScope::changes, {list[0]}}});
+  for (RequestId id = 1; Duration(1s) * std::int64_t(id) <= length; ++id) {
+    f.arrive(id, 0, 3000, seed * 100 + id);
+    f.run(1s);
+  }
+  return int(std::count_if(f.log.begin(), f.log.end(), [](const Action& action) {
+    const auto* send = std::get_if<Send>(&action);
+    return send != nullptr && send->engine == 1;
+  }));
+}
+
+TEST(Cold, ManyFrontsTogetherStayWithinTheBudget) {
+  // Were each front to allow itself one send at once, 200 would arrive in the first second. A warm reader
+  // gets 40 a second here; the fresh one at 0.3 of that may be sent three times its part.
+  int first_second = 0;
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) first_second += sends_to_a_fresh_reader(200, seed, 1s, 4);
+  EXPECT_LE(first_second, 36);
+}
+
+TEST(Cold, FrontsThatSeldomHaveARequestWarmItTogether) {
+  // A hundred fronts with one request in two seconds each: none saves up a whole send of its own in that
+  // time, and still the fresh reader is to get some of the ten that a warm one gets, and no more than its
+  // part.
+  int sends = 0;
+  for (std::uint64_t seed = 1; seed <= 400; ++seed) sends += sends_to_a_fresh_reader(400, seed, 1s, 39);
+  EXPECT_GE(sends, 2);
+  EXPECT_LE(sends, 9);
+}
+
+TEST(Cold, AFreshServerIsWarmedByAFewFrontsToo) {
+  int sends = 0;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) sends += sends_to_a_fresh_reader(2, seed, 8s, 0);
+  EXPECT_GT(sends, 5);
+}
+
+TEST(Settings, NothingUsableIsRefusedSafely) {
+  Settings empty;
+  Router router(empty);
+  RequestArrived r;
+  r.id = 1;
+  r.deadline = 5s;
+  const auto actions = router.handle(1s, {ListChanged{ListScope::disk, plain_list()}, r});
+  ASSERT_FALSE(actions.empty());
+  EXPECT_TRUE(std::holds_alternative<Refuse>(actions.front()));
+}
+
+TEST(Settings, ZeroesAndIndexesOutOfRangeDoNoHarm) {
+  Settings s = plain_settings();
+  s.fronts = 0;
+  s.tenants = {{0.0}, {1.0}};
+  s.rules = {};
+  s.rules.cold_from = 0.0;
+  s.kinds[1].memory = 0;
+  Router router(s);
+  auto odd = entry(99, 42, 7);
+  auto list = plain_list();
+  list.push_back(odd);
+  list[0].started = 1s;
+  std::vector<Event> events{ListChanged{ListScope::disk, list}};
+  for (RequestId id = 1; id < 20; ++id) {
+    RequestArrived r;
+    r.id = id;
+    r.request_class = std::uint32_t(id % 5);
+    r.tenant = std::uint32_t(id % 4);
+    r.deadline = 5s;
+    r.prompt_tokens = id % 3 == 0 ? 0 : 1000;
+    events.push_back(r);
+  }
+  EXPECT_FALSE(router.handle(1s, events).empty());
+}
+
+}  // namespace
+}  // namespace eiderarch::test
--- /dev/null
+++ b/tests/router_retry_test.cpp
@@ -0,0 +1,285 @@
+// Further attempts: what a class permits, the budget for them, and what failures say of a server.
+#include <gtest/gtest.h>
+
+#include "eiderarch/router.hpp"
+#include "front.hpp"
+
+namespace eiderarch::test {
+namespace {
+
+// A small site: one front, two servers that both read and write, few arrivals.
+Front small_site() {
+  Settings s = plain_settings();
+  s.fronts = 1;
+  return Front(s, {entry(kMixed, 2, 0), entry(kMixed + 1, 2, 0)});
+}
+
+TEST(Budget, AnIdleServerIsTriedThoughFewArrivalsHaveNotRefilledTheBudget) {
+  Front f = small_site();
+  for (RequestId id = 1; id <= 8; ++id) {
+    f.arrive(id);
+    const auto first = f.sent();
+    ASSERT_TRUE(first.has_value());
+    f.end(id, 0, *first, Outcome::error);
+    const auto second = f.sent();
+    ASSERT_TRUE(second.has_value()) << "request " << id << " waits while a server stands idle";
+    EXPECT_NE(second, first);
+    f.stream(id, 1, *second);
+    f.end(id, 1, *second, Outcome::served, 0, true);
+  }
+}
+
+TEST(Budget, WithEveryServerTriedAndTheBudgetSpentTheClientHearsSoAtOnce) {
+  Front f = small_site();
+  RequestId id = 0;
+  for (int failed = 0; failed < 6; ++failed) {
+    f.arrive(++id);
+    for (int attempt = 0; f.count<Refuse>() == 0; ++attempt) {
+      ASSERT_LT(attempt, 4);
+      ASSERT_TRUE(f.sent().has_value()) << "request " << id << " is held back";
+      f.end(id, attempt, *f.sent(), Outcome::error);
+    }
+  }
+}
+
+TEST(Budget, BusyServersAreNotLoadedByFurtherAttemptsBeyondIt) {
+  Front f = small_site();
+  // Streams at both, so that neither is idle.
+  for (RequestId id = 100; id < 104; ++id) {
+    f.arrive(id);
+    f.stream(id, 0, *f.sent());
+  }
+  int repeats = 0;
+  for (RequestId id = 1; id <= 20; ++id) {
+    f.arrive(id);
+    if (!f.sent()) continue;
+    f.end(id, 0, *f.sent(), Outcome::error);
+    if (!f.sent()) continue;
+    ++repeats;
+    f.end(id, 1, *f.sent(), Outcome::error);
+  }
+  EXPECT_LE(repeats, 2 + 24 / 5 + 1);
+}
+
+TEST(Budget, LostAnswersGoOnWithinItTheNearestToDoneFirst) {
+  Settings settings = plain_settings();
+  settings.resume = true;
+  Front f(settings, {entry(kMixed, 2, 0), entry(kMixed + 1, 2, 1)});
+  for (RequestId id = 200; id < 204; ++id) {
+    f.arrive(id);
+    f.stream(id, 0, *f.sent());
+  }
+  std::vector<Event> lost;
+  for (RequestId id = 1; id <= 100; ++id) {
+    RequestArrived r;
+    r.id = id;
+    r.prompt_tokens = 3000;
+    r.max_output = Tokens(10 * (101 - id));
+    r.deadline = f.now + 3s;
+    r.resumed = true;
+    r.lost_at = kMixed;
+    lost.push_back(r);
+  }
+  std::vector<RequestId> sent;
+  for (const Action& action : f.give(lost)) {
+    if (const auto* send = std::get_if<Send>(&action)) {
+      sent.push_back(send->id);
+      EXPECT_NE(send->engine, kMixed);  // not where it was lost, while there is another
+    }
+  }
+  // What four arrivals have saved, and not one for each that was lost.
+  ASSERT_FALSE(sent.empty());
+  EXPECT_LE(sent.size(), 3U);
+  EXPECT_EQ(sent.front(), 100U);
+  f.run(4s);
+  EXPECT_EQ(f.logged<Send>(), 4 + int(sent.size()));
+  EXPECT_EQ(f.logged<Refuse>(), 100 - int(sent.size()));
+}
+
+TEST(Writing, UnsafeIsFailedWhereItMayHaveRun) {
+  for (const Outcome outcome : {Outcome::error, Outcome::timed_out, Outcome::reset, Outcome::cancelled}) {
+    Front f;
+    f.arrive(1, 2);
+    f.end(1, 0, *f.sent(), Outcome::state_held);
+    f.end(1, 1, *f.sent(), outcome);
+    EXPECT_EQ(f.count<Fail>(), 1);
+    EXPECT_EQ(f.count<Send>(), 0);
+    EXPECT_EQ(f.count<Release>(), 1);
+  }
+}
+
+TEST(Writing, UnsafeIsTriedAgainWhereItNeverRan) {
+  for (const Outcome outcome : {Outcome::busy, Outcome::not_connected}) {
+    Front f;
+    f.arrive(1, 2);
+    f.end(1, 0, *f.sent(), Outcome::state_held);
+    const auto first = f.sent();
+    f.end(1, 1, *first, outcome);
+    EXPECT_TRUE(writes(f.sent()));
+    EXPECT_NE(f.sent(), first);
+  }
+}
+
+// Its second read went to the reader of the other zone: a copy of the request outside its group.
+TEST(Writing, WhatMayHaveRunIsReadAgainOnlyInItsGroupAndWindow) {
+  Settings s = plain_settings();
+  s.writers_read = false;
+  s.limits.max_attempts = 8;
+  for (Key session = 1; session <= 20; ++session) {
+    Front f(s);
+    f.arrive(1, 1, 3000, session);
+    EXPECT_EQ(std::get<Send>(f.last.front()).by, 0s);  // no window has opened
+    f.end(1, 0, *f.sent(), Outcome::state_held);
+    const EngineId writer = *f.sent();
+    const Time window = f.now + 3s;
+    f.run(100ms);
+    f.end(1, 1, writer, Outcome::reset);
+    ASSERT_EQ(f.sent(), writer);
+    EXPECT_EQ(std::get<Send>(f.last.front()).by, window);
+    f.end(1, 2, writer, Outcome::busy, 1);  // the state is gone: it is read anew
+    const EngineId reader = writer == kWriterA ? kReaderA : kReaderB;
+    ASSERT_EQ(f.sent(), reader);
+    f.now = window - 10ms;
+    f.end(1, 3, reader, Outcome::error);
+    EXPECT_FALSE(f.sent());
+    EXPECT_EQ(f.count<Fail>(), 1);
+  }
+}
+
+TEST(Writing, AnAttemptThatNeverRanNarrowsNoGroup) {
+  Front f(plain_settings(), {entry(kReaderA, 0, 0), entry(kWriterA, 1, 0), entry(kWriterB, 1, 1)});
+  f.arrive(1, 1);
+  f.end(1, 0, kReaderA, Outcome::state_held);
+  const EngineId first = *f.sent();
+  f.end(1, 1, first, Outcome::not_connected);
+  EXPECT_EQ(f.sent(), first == kWriterA ? kWriterB : kWriterA);
+}
+
+TEST(Writing, KeyedStaysInItsCell) {
+  Front f;
+  f.arrive(1, 1);
+  f.end(1, 0, *f.sent(), Outcome::state_held);
+  const auto first = f.sent();
+  f.end(1, 1, *first, Outcome::error);
+  EXPECT_TRUE(!f.sent() || f.sent() == first);
+  f.run(7s);
+  EXPECT_EQ(f.logged<Refuse>(), 0);
+}
+
+TEST(Writing, NoStateMeansReadAgainAndTheOldStateLetGo) {
+  Front f;
+  f.arrive(1);
+  f.end(1, 0, *f.sent(), Outcome::state_held);
+  f.end(1, 1, *f.sent(), Outcome::busy, 1);
+  EXPECT_EQ(f.count<Release>(), 1);
+  EXPECT_TRUE(reads(f.sent()));
+}
+
+TEST(Writing, AnotherWriterPullsTheStateWhenTheFirstIsFull) {
+  Front f;
+  f.arrive(1);
+  f.end(1, 0, *f.sent(), Outcome::state_held);
+  const auto first = f.sent();
+  f.end(1, 1, *first, Outcome::busy);
+  EXPECT_TRUE(writes(f.sent()));
+  EXPECT_NE(f.sent(), first);
+  EXPECT_EQ(f.count<Release>(), 0);
+}
+
+TEST(Writing, WriterLostDuringTheReadIsReplaced) {
+  Front f;
+  f.arrive(1);
+  const auto reader = f.sent();
+  auto gone = entry(kWriterA, 1, 0);
+  gone.state = EngineState::gone;
+  f.give({ListChanged{ListScope::changes, {gone}}});
+  f.end(1, 0, *reader, Outcome::state_held);
+  EXPECT_EQ(f.sent(), kWriterB);
+}
+
+// Further attempts, where every read fails, of requests that come `gap` apart for ten seconds.
+int repeats_when_all_fails(Duration gap) {
+  Front f;
+  int arrived = 0;
+  for (Duration at{0}; at < 10s; at += gap, ++arrived) {
+    f.arrive(RequestId(arrived) + 1);
+    for (int attempt = 0; f.sent() && attempt < 4; ++attempt) {
+      f.end(RequestId(arrived) + 1, attempt, *f.sent(), Outcome::reset);
+    }
+    f.give({RequestGone{RequestId(arrived) + 1}});
+    f.now += gap;
+  }
+  return f.logged<Send>() - arrived;
+}
+
+TEST(Retries, SavedOnesFollowWhatArrivesAtThisFront) {
+  // A front with one request a second saves a few repeats, not 20 that hundreds of fronts would spend at
+  // once.
+  EXPECT_LE(repeats_when_all_fails(1s), 2 + 3);
+  EXPECT_GE(repeats_when_all_fails(100ms), 12);
+}
+
+TEST(Health, AWriterSilentForOneClassIsAvoidedForThatClassOnly) {
+  Front f(plain_settings(), {entry(kReaderA, 0, 0), entry(kWriterA, 1, 0), entry(kWriterB, 1, 0)});
+  // Class 0 is never answered by the one writer, class 1 by both.
+  RequestId id = 1;
+  std::optional<EngineId> bad;
+  int again = 0;
+  for (int i = 0; i < 12; ++i, ++id) {
+    f.arrive(id, i % 2 == 0 ? 0U : 1U, 100);
+    ASSERT_TRUE(writes(f.sent()));
+    const EngineId to = *f.sent();
+    if (i % 2 == 0 && (!bad || to == *bad)) {
+      again += bad.has_value();
+      bad = to;
+      f.end(id, 0, to, Outcome::error);
+      if (f.sent()) f.end(id, 1, *f.sent(), Outcome::served, 0, true);
+    } else {
+      f.stream(id, 0, to);
+      f.end(id, 0, to, Outcome::served, 0, true);
+    }
+    f.run(200ms);
+  }
+  EXPECT_EQ(again, 0);
+}
+
+// A box that fails at once is always idle: with the other one out of room it would get, and lose, all.
+TEST(Health, AWriterThatFailsAtOnceIsNotTakenForOneThatHasRoom) {
+  Settings s = plain_settings();
+  s.kinds[1].memory = 400;  // the sound writer has room for one request of this front
+  Front f(s);
+  int failed = 0;
+  for (RequestId id = 1; id <= 30; ++id) {
+    f.arrive(id, 2, 100);  // unsafe, read where it is written
+    if (f.sent() != kWriterB) continue;
+    ++failed;
+    f.end(id, 0, kWriterB, Outcome::error);
+    f.run(20ms);
+  }
+  EXPECT_GE(failed, 1);
+  EXPECT_LE(failed, 4) << "it goes on being chosen for being idle";
+}
+
+TEST(Patience, ASilentReaderIsLeftForAnother) {
+  Front f;
+  for (RequestId id = 1; id < 9; ++id) f.serve(id);
+  f.arrive(20);
+  const auto silent = f.sent();
+  f.run(1200ms);
+  EXPECT_GE(f.logged<Cancel>(), 1);
+  f.end(20, 0, *silent, Outcome::cancelled);
+  EXPECT_TRUE(f.sent().has_value());
+  EXPECT_NE(f.sent(), silent);
+}
+
+TEST(Patience, AnUnsafeWriterAttemptIsNeverCalledOff) {
+  Front f;
+  for (RequestId id = 1; id < 9; ++id) f.serve(id);
+  f.arrive(20, 2);
+  f.end(20, 0, *f.sent(), Outcome::state_held);
+  f.run(5s);
+  EXPECT_EQ(f.logged<Cancel>(), 0);
+}
+
+}  // namespace
+}  // namespace eiderarch::test
--- /dev/null
+++ b/tests/slow_start_test.cpp
@@ -0,0 +1,161 @@
+// The budget of a server in slow start, summed over all processes that send to it: each decides alone, and
+// the sum has to hold however many there are, and however unequal their traffic.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <memory>
+#include <random>
+#include <tuple>
+#include <vector>
+
+#include "front.hpp"
+
+namespace eiderarch::test {
+namespace {
+
+constexpr Duration kStep = 20ms;
+constexpr Duration kServiceTime = 300ms;
+constexpr Duration kWarmUp = 4s;  // in which the processes see what a warm server gets
+constexpr EngineId kFresh = 1;
+constexpr EngineId kWarmReaders = 5;
+
+// What the operators allow over `calls`, for chance and for processes that cannot talk to each other.
+double allowed(double calls) {
+  const double root = std::sqrt(calls);
+  return calls + (calls < 30.0 ? 3.0 * root + 3.0 : 2.0 * root + 2.0);
+}
+
+// Processes around readers, one of which has just started. Attempts end well after a fixed time, but for some
+// that fail at warm servers and are made again.
+class SlowStart {
+ public:
+  SlowStart(std::uint32_t processes, double per_second, bool unequal, double failing)
+      : settings_(plain_settings()), rate_(per_second), failing_(failing) {
+    settings_.fronts = processes;
+    for (EngineId id = kFresh; id <= kFresh + kWarmReaders; ++id) list_.push_back(entry(id, 0, 0));
+    for (EngineId id = 101; id <= 106; ++id) list_.push_back(entry(id, 1, 0));
+    for (std::uint32_t i = 0; i < processes; ++i) {
+      settings_.seed = i + 1;
+      processes_.push_back(std::make_unique<Front>(settings_, list_));
+      weights_.push_back(unequal ? 1.0 / double(i + 1) : 1.0);
+    }
+  }
+
+  void run(Duration length) {
+    std::discrete_distribution<std::size_t> pick(weights_.begin(), weights_.end());
+    std::poisson_distribution<int> arrivals(rate_ * std::chrono::duration<double>(kStep).count());
+    for (const Time end = now_ + length; now_ < end; now_ += kStep) {
+      for (const auto& process : processes_) collect(*process, [&] { process->run(kStep); });
+      for (int n = arrivals(random_); n > 0; --n) {
+        Front& process = *processes_[pick(random_)];
+        collect(process, [&] { process.arrive(++last_id_); });
+      }
+      finish();
+    }
+  }
+
+  // Every process is told at once that the server has just started.
+  void restart() {
+    started_ = now_;
+    std::vector<EngineEntry> fresh{list_.front()};
+    fresh.front().started = processes_.front()->now;
+    for (const auto& process : processes_) {
+      collect(*process, [&] { process->give({ListChanged{ListScope::changes, fresh}}); });
+    }
+    to_fresh_.clear();
+    to_warm_ = 0;
+  }
+
+  // The most calls over the budget in any window of the time that the settings name; negative: none is over.
+  [[nodiscard]] double worst_excess() const {
+    const double lasted = std::chrono::duration<double>(now_ - started_).count();
+    const double warm_rate = double(to_warm_) / double(kWarmReaders) / lasted;
+    double worst = -1e9;
+    for (std::size_t first = 0; first < to_fresh_.size(); ++first) {
+      const Time until = to_fresh_[first] + settings_.rules.fall_time;
+      const auto last = std::upper_bound(to_fresh_.begin(), to_fresh_.end(), until);
+      const double calls = double(last - to_fresh_.begin()) - double(first);
+      const double age = std::chrono::duration<double>(to_fresh_[first] - started_) /
+                         std::chrono::duration<double>(settings_.rules.cold_time);
+      const double part = settings_.rules.cold_from + (1.0 - settings_.rules.cold_from) * std::min(1.0, age);
+      const double seconds = std::chrono::duration<double>(settings_.rules.fall_time).count();
+      worst = std::max(worst, calls - allowed(settings_.rules.overload_factor * part * warm_rate * seconds));
+    }
+    return worst;
+  }
+  [[nodiscard]] std::size_t sent_to_fresh() const { return to_fresh_.size(); }
+
+ private:
+  struct Call {
+    Front* process = nullptr;
+    RequestId id = 0;
+    int attempt = 0;
+    EngineId engine = 0;
+    Time ends{0};
+  };
+
+  // Does something at a process, and takes note of what it sends.
+  template <typename Do>
+  void collect(Front& process, Do act) {
+    const std::size_t before = process.log.size();
+    act();
+    for (std::size_t i = before; i < process.log.size(); ++i) {
+      const auto* send = std::get_if<Send>(&process.log[i]);
+      if (send == nullptr) continue;
+      calls_.push_back({&process, send->id, attempts_[send->id]++, send->engine, now_ + kServiceTime});
+      if (send->engine == kFresh) to_fresh_.push_back(now_);
+      if (send->engine > kFresh && send->engine <= kFresh + kWarmReaders) ++to_warm_;
+    }
+  }
+
+  void finish() {
+    const auto due = std::stable_partition(calls_.begin(), calls_.end(),
+                                           [this](const Call& call) { return call.ends > now_; });
+    const std::vector<Call> ended(due, calls_.end());
+    calls_.erase(due, calls_.end());
+    for (const Call& call : ended) {
+      const bool reader = call.engine <= kFresh + kWarmReaders;
+      const bool fails = reader && call.engine != kFresh && unit_(random_) < failing_;
+      const Outcome outcome = fails ? Outcome::error : reader ? Outcome::state_held : Outcome::served;
+      Front& process = *call.process;
+      if (!reader) process.stream(call.id, call.attempt, call.engine);
+      collect(process, [&] { process.end(call.id, call.attempt, call.engine, outcome, 0, !reader); });
+    }
+  }
+
+  Settings settings_;
+  double rate_, failing_;
+  std::vector<EngineEntry> list_;
+  std::vector<std::unique_ptr<Front>> processes_;
+  std::vector<double> weights_;
+  std::mt19937 random_{11};
+  std::uniform_real_distribution<double> unit_;
+  Time now_{0}, started_{0};
+  RequestId last_id_ = 0;
+  std::map<RequestId, int> attempts_;
+  std::vector<Call> calls_;
+  std::vector<Time> to_fresh_;
+  std::int64_t to_warm_ = 0;
+};
+
+class SlowStartOf : public testing::TestWithParam<std::uint32_t> {};
+
+TEST_P(SlowStartOf, AllProcessesTogetherKeepsTheBudget) {
+  for (const auto& [per_second, unequal, failing] :
+       {std::tuple(30.0, false, 0.0), std::tuple(30.0, true, 0.3), std::tuple(150.0, true, 0.1)}) {
+    SlowStart site(GetParam(), per_second, unequal, failing);
+    site.run(kWarmUp);
+    site.restart();
+    site.run(plain_settings().rules.cold_time);
+    EXPECT_LE(site.worst_excess(), 0.0)
+        << per_second << " a second, " << (unequal ? "unequal" : "equal") << ", failing " << failing;
+    EXPECT_GT(site.sent_to_fresh(), 0u) << per_second << " a second";
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Processes, SlowStartOf, testing::Values(1, 3, 8, 30, 300));
+
+}  // namespace
+}  // namespace eiderarch::test
