--- a/src/admission/keys.cpp
+++ b/src/admission/keys.cpp
@@ -18,8 +18,8 @@
 }  // namespace
 
 Hash hash_secret(const Salt& salt, std::string_view secret) {
-  static const bool ready = sodium_init() >= 0;  // once; after that it only says so
-  if (!ready) throw std::runtime_error("libsodium cannot start");
+  static const bool kReady = sodium_init() >= 0;  // once; after that it only says so
+  if (!kReady) throw std::runtime_error("libsodium cannot start");
   Hash hash{};
   // BLAKE2b keyed by the salt: one hash of the secret alone, for a different one at each key.
   crypto_generichash(hash.data(), hash.size(), reinterpret_cast<const unsigned char*>(secret.data()),
--- a/src/app/console.cpp
+++ b/src/app/console.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <csignal>
 #include <cstdio>
 #include <functional>
@@ -36,7 +37,7 @@
 }
 
 std::string bar(double part) {
-  const int full = int(std::clamp(part, 0.0, 1.0) * kBar + 0.5);
+  const int full = int(std::lround(std::clamp(part, 0.0, 1.0) * kBar));
   std::string text(std::size_t(kBar) + 2, '.');
   text.front() = '[';
   text.back() = ']';
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -122,8 +122,8 @@
   net::InstanceClient instances(loop, pool_limits(config.connect_timeout, config.idle_timeout, bounds),
                                 net::Dialect::platform);
   bool listed = false, waits = false;  // for discovery's list
-  net::DiscoveryWatch discovery(loop, config, [&](core::FleetNews news) {
-    conductor->news(std::move(news));
+  net::DiscoveryWatch discovery(loop, config, [&](const core::FleetNews& news) {
+    conductor->news(news);
     listed = true;
     if (waits) loop.stop();
   });
@@ -189,7 +189,7 @@
   net::InstanceClient instances(loop, pool_limits(appliance.connect_timeout, appliance.idle_timeout, bounds),
                                 net::Dialect::openai);
   net::BoxWatch boxes(loop, instances, appliance,
-                      [&](core::FleetNews news) { conductor->news(std::move(news)); });
+                      [&](const core::FleetNews& news) { conductor->news(news); });
   conductor.emplace(core_settings(appliance.module, bounds), loop, instances, boxes, log_line);
   conductor->observe(request_log(appliance.classes));
   net::OperatorPage page(*conductor, loop, boxes, door, appliance);
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -38,7 +38,7 @@
 
 std::string address(const Fields& f, const char* key, const Environment& environment, const char* variable,
                     bool needed = true) {
-  const std::string value = told(f, key, environment, variable, needed);
+  std::string value = told(f, key, environment, variable, needed);
   if ((needed || !value.empty()) && !Address::parse(value))
     f.bad(key, "is not an IPv4 address and port: '" + value + "'");
   return value;
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -29,9 +29,9 @@
   std::vector<std::string> kinds;
   core::Duration connect_timeout{250'000};
   core::Duration idle_timeout{15'000'000};
-  core::Duration cpu_a_second{0};     // processor time that this process may use in a second; 0: not told
-  std::vector<std::string> unknown;   // keys of the settings that are passed over
-  bool stream_reports = false;  // answers hold load reports
+  core::Duration cpu_a_second{0};    // processor time that this process may use in a second; 0: not told
+  std::vector<std::string> unknown;  // keys of the settings that are passed over
+  bool stream_reports = false;       // answers hold load reports
   core::FleetNews known;
   std::uint64_t known_version = 0;
   std::size_t fixed = 0;  // of all that counts from the start alone; differs where any of it does
--- a/src/config/fields.cpp
+++ b/src/config/fields.cpp
@@ -50,7 +50,7 @@
 }
 
 std::string Fields::address(const std::string& key) const {
-  const std::string value = text(key);
+  std::string value = text(key);
   if (!Address::parse(value)) bad(key, "is not an IPv4 address and port: '" + value + "'");
   return value;
 }
--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -62,7 +62,7 @@
 
 void Conductor::client_gone(RequestId id) { give(id, ClientGone{}); }
 
-void Conductor::news(FleetNews news) {
+void Conductor::news(const FleetNews& news) {
   const std::vector<EngineId> lost = fleet_.update(scheduler_.now(), news);
   for (const EngineId engine : lost) {
     if (const Fleet::Member* member = fleet_.find(engine)) instances_.forget(member->target);
--- a/src/core/conductor.hpp
+++ b/src/core/conductor.hpp
@@ -63,7 +63,7 @@
   RequestId take(Ask ask, std::unique_ptr<ClientReply> reply);
   // The client has closed its connection.
   void client_gone(RequestId id);
-  void news(FleetNews news);
+  void news(const FleetNews& news);
   // The ids that operators have taken out, all of them: nothing new goes there from now on, whatever the list
   // says, and one that is no longer among them is as one that has just started.
   void maintain(std::set<std::string> ids);
--- a/src/core/ports.hpp
+++ b/src/core/ports.hpp
@@ -102,7 +102,7 @@
   virtual void data(std::string_view bytes) = 0;
   // Whether the client takes its stream more slowly than it comes. Then `room` is called, once, when it has
   // caught up; a client that never does is gone at some time.
-  [[nodiscard]] virtual bool behind(std::function<void()> /*room*/) { return false; }
+  [[nodiscard]] virtual bool behind(const std::function<void()>& /*room*/) { return false; }
   virtual void end() = 0;
   // Ends a stream that is not whole: the client must not take it for a whole one.
   virtual void abort(const Ending& ending) = 0;
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -22,14 +22,14 @@
 
 // The pattern closes the object that the message continues. One thread writes, so the sink takes no lock.
 spdlog::logger& sink() {
-  static const std::shared_ptr<spdlog::logger> logger = [] {
+  static const std::shared_ptr<spdlog::logger> kLogger = [] {
     auto made =
         std::make_shared<spdlog::logger>("bankmux", std::make_shared<spdlog::sinks::stderr_sink_st>());
     made->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l",%v})", spdlog::pattern_time_type::utc);
     made->flush_on(spdlog::level::info);
     return made;
   }();
-  return *logger;
+  return *kLogger;
 }
 
 std::string quoted(const std::string& text) {
--- a/src/net/appliance/operator_page.cpp
+++ b/src/net/appliance/operator_page.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -69,7 +70,7 @@
   if (drained_ || ending_) return {Standing::State::drain, 0};
   const double boxes = double(serving) / double(appliance_.boxes.size());
   const double room = 1.0 - double(conductor_.open_requests()) / double(conductor_.most_requests());
-  return {Standing::State::up, int(100.0 * boxes * room + 0.5)};
+  return {Standing::State::up, int(std::lround(100.0 * boxes * room))};
 }
 
 std::string OperatorPage::status() const {
--- a/src/net/http/http_connection.cpp
+++ b/src/net/http/http_connection.cpp
@@ -252,7 +252,7 @@
 void HttpConnection::head(int status, const Headers& headers, const std::string& framing) {
   if (server_.winding_down_ || server_.crowded()) last_ = true;
   std::string text = "HTTP/1.1 " + std::to_string(status) + ' ' + reason(status) + "\r\n";
-  for (const auto& [name, value] : headers) text += name + ": " + value + "\r\n";
+  for (const auto& [name, value] : headers) text.append(name).append(": ").append(value).append("\r\n");
   write(text + framing + (last_ ? "Connection: close\r\n\r\n" : "\r\n"));
 }
 
@@ -360,10 +360,10 @@
   connection_->write("\r\n");
 }
 
-bool Incoming::behind(std::function<void()> room) {
+bool Incoming::behind(const std::function<void()>& room) {
   if (state_ != State::streaming) return false;
   if (evbuffer_get_length(bufferevent_get_output(connection_->stream_.get())) <= kMuchUnread) return false;
-  room_ = std::move(room);
+  room_ = room;
   return true;
 }
 
--- a/src/net/http/http_reply.hpp
+++ b/src/net/http/http_reply.hpp
@@ -22,7 +22,7 @@
   void relay(const core::Answer& answer) override;
   void begin() override;
   void data(std::string_view bytes) override { incoming_->chunk(bytes); }
-  bool behind(std::function<void()> room) override { return incoming_->behind(std::move(room)); }
+  bool behind(const std::function<void()>& room) override { return incoming_->behind(room); }
   void end() override { incoming_->end(); }
   void abort(const core::Ending&) override { incoming_->abort(); }
 
--- a/src/net/http/http_server.hpp
+++ b/src/net/http/http_server.hpp
@@ -51,7 +51,7 @@
   // Ends a stream without its last chunk, once what was given is out.
   void abort();
   // More than enough of a stream waits for its client to read it; `room` is called once all of it is out.
-  [[nodiscard]] bool behind(std::function<void()> room);
+  [[nodiscard]] bool behind(const std::function<void()>& room);
 
   // In the middle of a stream: the connection, and what HttpServer::take_over needs to go on with it. Nothing
   // where more waits on it than is worth copying, or a further request has come.
--- a/src/net/instances/instance_client.cpp
+++ b/src/net/instances/instance_client.cpp
@@ -53,7 +53,7 @@
   }
   for (const auto& [name, value] : payload.headers) {
     if (hop_by_hop(name) || (dialect == Dialect::openai && recoded(name))) continue;
-    text += "\r\n" + name + ": " + value;
+    text.append("\r\n").append(name).append(": ").append(value);
   }
   return text + "\r\nContent-Length: " + std::to_string(payload.body.size()) + "\r\n\r\n";
 }
--- a/src/net/openai/request_rules.cpp
+++ b/src/net/openai/request_rules.cpp
@@ -196,7 +196,7 @@
 }  // namespace
 
 const Rule& chat_rules() {
-  static const Rule rules =
+  static const Rule kRules =
       with({common(),
             sampling(),
             {{"messages", Rule::list(message(), 1), kRequired},
@@ -217,23 +217,23 @@
              {"top_logprobs", Rule::whole(0, 20)},
              {"verbosity", verbosity()},
              {"web_search_options", free_object()}}});
-  return rules;
+  return kRules;
 }
 
 const Rule& completion_rules() {
-  static const Rule rules = with({common(),
-                                  sampling(),
-                                  {{"prompt", text() | Rule::list(text(), 1, 128), kRequired},
-                                   {"best_of", Rule::whole(1, 20)},
-                                   {"echo", Rule::flag()},
-                                   {"logprobs", Rule::whole(0, 5)},
-                                   {"max_tokens", Rule::whole(0, kMostTokens)},
-                                   {"suffix", text()}}});
-  return rules;
+  static const Rule kRules = with({common(),
+                                   sampling(),
+                                   {{"prompt", text() | Rule::list(text(), 1, 128), kRequired},
+                                    {"best_of", Rule::whole(1, 20)},
+                                    {"echo", Rule::flag()},
+                                    {"logprobs", Rule::whole(0, 5)},
+                                    {"max_tokens", Rule::whole(0, kMostTokens)},
+                                    {"suffix", text()}}});
+  return kRules;
 }
 
 const Rule& response_rules() {
-  static const Rule rules =
+  static const Rule kRules =
       with({common(),
             {{"input", text() | items(), kRequired},
              {"background", Rule::flag()},
@@ -253,7 +253,7 @@
              {"tools", Rule::list(Rule::variant("type", {{"function", function_members()}}), 0, 128)},
              {"top_logprobs", Rule::whole(0, 20)},
              {"truncation", Rule::word({"auto", "disabled"})}}});
-  return rules;
+  return kRules;
 }
 
 }  // namespace bankmux::net::openai
--- a/src/net/openai/rules.hpp
+++ b/src/net/openai/rules.hpp
@@ -40,17 +40,7 @@
 
  private:
   enum class Kind { any, flag, whole, number, text, word, list, object, map, variant };
-  struct Form {
-    explicit Form(Kind k, double l = 0.0, double m = 0.0) : kind(k), least(l), most(m) {}
-    Kind kind;
-    double least, most;
-    std::size_t most_key = 0;
-    std::vector<std::string> words;
-    std::vector<Rule> inner;  // of a list's entries, of a map's values
-    Members members;
-    std::string key, otherwise;
-    std::vector<std::pair<std::string, Members>> variants;
-  };
+  struct Form;
   static Rule of(Form form);
   [[nodiscard]] static bool fits(const Form& form, const nlohmann::json& value);
   [[nodiscard]] static std::string described(const Form& form);
@@ -66,4 +56,17 @@
   bool required = false;
 };
 
+// Defined once its members are complete.
+struct Rule::Form {
+  explicit Form(Kind k, double l = 0.0, double m = 0.0) : kind(k), least(l), most(m) {}
+  Kind kind;
+  double least, most;
+  std::size_t most_key = 0;
+  std::vector<std::string> words;
+  std::vector<Rule> inner;  // of a list's entries, of a map's values
+  Members members;
+  std::string key, otherwise;
+  std::vector<std::pair<std::string, Members>> variants;
+};
+
 }  // namespace bankmux::net::openai
--- a/src/operations/passed_stream.cpp
+++ b/src/operations/passed_stream.cpp
@@ -14,8 +14,8 @@
 constexpr int kFormat = 1;
 constexpr std::size_t kMostName = 128;
 constexpr std::size_t kMostBox = 256;
-constexpr std::int64_t kMostIndex = 100'000;               // classes and tenants
-constexpr std::int64_t kMostTokens = 100'000'000;          // of a prompt
+constexpr std::int64_t kMostIndex = 100'000;       // classes and tenants
+constexpr std::int64_t kMostTokens = 100'000'000;  // of a prompt
 constexpr std::int64_t kMostAttempts = 1'000'000;
 constexpr std::int64_t kMostTime = 86'400LL * 1'000'000;  // microseconds
 
--- a/src/recovery/recovery.cpp
+++ b/src/recovery/recovery.cpp
@@ -131,7 +131,7 @@
   return keep(std::move(out));
 }
 
-std::string Recovery::event_of(json value) const {
+std::string Recovery::event_of(const json& value) const {
   return "data: " + value.dump(-1, ' ', false, json::error_handler_t::replace) + "\n\n";
 }
 
@@ -203,7 +203,7 @@
   } else {
     says = true;  // something of the box's own
   }
-  return says ? event_of(std::move(value)) : "";
+  return says ? event_of(value) : "";
 }
 
 Next Recovery::lost(const std::string& body) {
--- a/src/recovery/recovery.hpp
+++ b/src/recovery/recovery.hpp
@@ -9,8 +9,8 @@
 #include <string>
 #include <string_view>
 
-#include "sse/event_splitter.hpp"
 #include "recovery/seam.hpp"
+#include "sse/event_splitter.hpp"
 
 namespace bankmux::recovery {
 
@@ -63,7 +63,7 @@
  private:
   // One event of a box that goes on; what the client gets in its place.
   std::string joined(std::string_view event);
-  [[nodiscard]] std::string event_of(nlohmann::json value) const;
+  [[nodiscard]] std::string event_of(const nlohmann::json& value) const;
   [[nodiscard]] nlohmann::json chunk(const std::string& text, const nlohmann::json& finish) const;
   std::string keep(std::string out);
 
--- a/src/router/tuned.hpp
+++ b/src/router/tuned.hpp
@@ -52,7 +52,7 @@
 constexpr double kColdShare = 0.4;     // of the cold budget, used by all fronts together
 constexpr Duration kColdDraw = 1s;     // how long a request that waits stands by its draw
 constexpr Duration kRepeatMargin = 20ms;  // before a window ends: the bytes need time too
-constexpr double kRetryShare = 0.2;    // further attempts for each new request; bounds what trouble adds
+constexpr double kRetryShare = 0.2;       // further attempts for each new request; bounds what trouble adds
 constexpr double kRetryLeast = 2.0;   // attempts saved up at most: what arrives in some seconds, but at least
 constexpr double kRetryBurst = 20.0;  //   this and at most that, for many fronts spend their savings at once
 constexpr double kStayLeast = 0.5;    // of the longest advice allowed, the shortest given
@@ -62,11 +62,11 @@
 constexpr double kMostTold = 1e5;       // thousands of tokens; more is no queue but a fault
 constexpr Duration kProof = 3s;         // how long a sign of life spares a box the question whether it runs
 constexpr double kWary = 0.1;  // share of connections that failed of late, from which boxes are asked so
-constexpr Duration kTrustTold = 1s;    // a report this old is no reason to keep a request back
+constexpr Duration kTrustTold = 1s;        // a report this old is no reason to keep a request back
 constexpr Duration kReleaseSlack = 200ms;  // past the release time; on sockets the rule has 300
-constexpr Duration kSweep = 20ms;      // period of the sweep; well inside any release time
-constexpr Duration kResubscribe = 1s;  // wait after a failed list call
-constexpr Duration kReclaim = 40ms;    // how long before a deadline a waiting request is answered
+constexpr Duration kSweep = 20ms;          // period of the sweep; well inside any release time
+constexpr Duration kResubscribe = 1s;      // wait after a failed list call
+constexpr Duration kReclaim = 40ms;        // how long before a deadline a waiting request is answered
 
 constexpr std::uint64_t kSweepTag = 1;
 
--- a/tests/stories/crossing_stories.cpp
+++ b/tests/stories/crossing_stories.cpp
@@ -2,6 +2,7 @@
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <filesystem>
 #include <thread>
 
 #include "platform_world.hpp"
@@ -343,6 +344,33 @@
   CHECK_FALSE(has(log, "no watch after 2 calls in a row"));
 }
 
+// How many descriptors a process has open.
+std::ptrdiff_t descriptors(pid_t pid) {
+  return std::distance(std::filesystem::directory_iterator("/proc/" + std::to_string(pid) + "/fd"), {});
+}
+
+TEST_CASE(
+    "Crossing: idle clients that fill the descriptors while discovery is down leave it and instances one") {
+  Record seen;
+  Peer box(serving(seen));
+  // A request waits while a server is listed, though this one takes no connection.
+  Platform platform({{"gone", "mixto", "127.0.0.1:1"}});
+  const std::string call = "GET /api/targets?follow=1&since=1 HTTP/1.1";
+  REQUIRE(platform.watches.wait_for(call));
+  platform.silence(true);
+  platform.break_watch();
+  std::vector<std::unique_ptr<Wire>> idle;
+  for (int i = 0; i < 400; ++i) idle.push_back(platform.connect());  // more than the limits leave for clients
+  CHECK(platform.ask(kReady).starts_with("HTTP/1.1 200"));
+  CHECK(descriptors(platform.program().pid()) <= 512);
+  platform.push(Platform::line(2, true, {{"w", "mixto", box.address()}}));
+  platform.silence(false);
+  for (int i = 0; i < 400; ++i) idle.push_back(platform.connect());
+  CHECK(platform.ask(client_request("a", "consulta", 5000, 100)).starts_with("HTTP/1.1 200"));
+  CHECK(seen.all() == std::vector<std::string>{"a"});
+  CHECK(descriptors(platform.program().pid()) <= 512);
+}
+
 // ---- Streams ----
 
 // Seen as a lost request: "d", the first letter of an event, had begun the answer, and with the connection it
