Fold two settings of a pooled connection, always equal, into one

Found on reading the change once more: ConnectionTerms had break_harmless and stray_answer_harmless, and since reads use a reader's connection at once again every caller gives both the same. Now one: trouble_harmless. No change of behaviour.

--- a/src/core/ports.hpp
+++ b/src/core/ports.hpp
@@ -166,10 +166,9 @@
 
 // What a request can bear of a pooled connection.
 struct ConnectionTerms {
-  bool break_harmless = false;  // a break under it: it may be sent again
-  // An answer that belongs to the exchange before it, come late: its word would prove nothing of this
-  // request.
-  bool stray_answer_harmless = false;
+  // What it can bring does no harm: a break under the request, which may then be sent again, and an answer of
+  // the exchange before it, come late, whose word would prove nothing of this request.
+  bool trouble_harmless = false;
 };
 
 enum class ClaimAnswer { held, not_held, unknown };
--- a/src/core/request_lifecycle.cpp
+++ b/src/core/request_lifecycle.cpp
@@ -133,7 +133,7 @@
   };
   // A prefill has no effect, and new connections cost busy prefill instances dear.
   const bool harmless = attempt.prefill || repeat_safe(r);
-  const ConnectionTerms terms{harmless, harmless};
+  const ConnectionTerms terms{harmless};
   r.attempt = instances_.start(member->target, r.ask.payload, not_after, terms, may_write, r);
   return true;
 }
--- a/src/net/instances/instance_client.cpp
+++ b/src/net/instances/instance_client.cpp
@@ -294,8 +294,8 @@
         done_(std::move(done)),
         limit_(loop.at(loop.now() + kCallPatience, [this] { on_end(false); })),
         exchange_(std::make_unique<Exchange>(
-            pool, address, [text = std::move(request)] { return text; }, nullptr,
-            core::ConnectionTerms{true, true}, *this)) {}
+            pool, address, [text = std::move(request)] { return text; }, nullptr, core::ConnectionTerms{true},
+            *this)) {}
 
   [[nodiscard]] const ResponseParser& response() const { return exchange_->response(); }
   [[nodiscard]] Progress progress() const { return exchange_->progress(); }
--- a/src/net/instances/instance_pool.cpp
+++ b/src/net/instances/instance_pool.cpp
@@ -57,8 +57,8 @@
       body_(std::move(body)),
       events_(events) {
   attempt_ = body_ != nullptr;
-  if (pool_.trusts_kept(terms.break_harmless)) {
-    connection_ = pool_.take_idle(address_, terms.stray_answer_harmless);
+  if (pool_.trusts_kept(terms.trouble_harmless)) {
+    connection_ = pool_.take_idle(address_, terms.trouble_harmless);
   }
   reused_ = connection_ != nullptr;
   if (!reused_) connection_ = pool_.connect(address_);
@@ -254,10 +254,10 @@
 // it: that request may have run. Where this happens, one that must not run twice takes a new connection, and
 // where it happens often all do, until what was seen has faded. New ones cost the instances work, so not
 // without need.
-bool InstancePool::trusts_kept(bool break_harmless) const {
+bool InstancePool::trusts_kept(bool trouble_harmless) const {
   const double fade = std::exp(-double((loop_.now() - kept_at_).count()) / kKeptFade);
   const double bad = kept_bad_ * fade;
-  return break_harmless ? bad <= kMostBroken * (kept_good_ * fade + bad + kFirstGood) : bad < kRestOfBroken;
+  return trouble_harmless ? bad <= kMostBroken * (kept_good_ * fade + bad + kFirstGood) : bad < kRestOfBroken;
 }
 
 void InstancePool::note_kept(bool lived) {
@@ -267,13 +267,13 @@
   kept_at_ = loop_.now();
 }
 
-BufferEventPtr InstancePool::take_idle(const std::string& address, bool stray_answer_harmless) {
+BufferEventPtr InstancePool::take_idle(const std::string& address, bool trouble_harmless) {
   const auto it = idle_.find(address);
   if (it == idle_.end()) return nullptr;
   std::list<Idle>& list = it->second;
   const core::Time now = loop_.now();
   for (auto idle = list.begin(); idle != list.end();) {
-    const bool quarantined = idle->answered_stream || !stray_answer_harmless;
+    const bool quarantined = idle->answered_stream || !trouble_harmless;
     if (quarantined && now < idle->answered + kQuarantine) {
       ++idle;
       continue;
--- a/src/net/instances/instance_pool.hpp
+++ b/src/net/instances/instance_pool.hpp
@@ -106,9 +106,9 @@
   };
 
   // Whether kept connections have lately lived to their next answer, well enough for such a request.
-  [[nodiscard]] bool trusts_kept(bool break_harmless) const;
+  [[nodiscard]] bool trusts_kept(bool trouble_harmless) const;
   void note_kept(bool lived);
-  BufferEventPtr take_idle(const std::string& address, bool stray_answer_harmless);
+  BufferEventPtr take_idle(const std::string& address, bool trouble_harmless);
   BufferEventPtr connect(const std::string& address);
   void keep(const std::string& address, BufferEventPtr connection, bool answered_stream);
   static void closed_idle(Idle* idle);
--- a/tests/stories/held_up_stories.cpp
+++ b/tests/stories/held_up_stories.cpp
@@ -20,7 +20,7 @@
 
 namespace {
 
-constexpr core::ConnectionTerms kAnyConnection{true, true};
+constexpr core::ConnectionTerms kAnyConnection{true};
 
 std::string get_head() { return "GET / HTTP/1.1\r\nHost: instance\r\n\r\n"; }
 
