Call off no attempt before half of its request's aim has passed

Readers were half used; cached shares near what is possible. Cause: patience.cpp, lose_patience: 3 x (pace x work ahead), at least 500 ms. Among many processes the pace is learned from reads that others' sends had shortened, so an ordinary read of 0.6 s in a queue counts as silent, is begun anew elsewhere and lengthens all queues. Change: nothing is called off before half of the request's aim, a figure of the settings. Test: Patience.AReadIsNotCalledOffEarlyInALongAim (fails without).

--- a/src/router/patience.cpp
+++ b/src/router/patience.cpp
@@ -40,7 +40,8 @@
   const double waited = seconds(now_ - a.sent);
   // By the role's late pace or its middle one, whichever is longer, so that it rests when all are slow.
   const double usual = std::max(known_.paces[a.reader ? 1 : 0].value, known_.usual_pace(a.reader)) * a.ahead;
-  if (waited < std::max(seconds(kPatienceLeast), kPatience * usual)) return;
+  const double least = std::max(seconds(kPatienceLeast), kPatienceAim * seconds(r.aim - r.arrived));
+  if (waited < std::max(least, kPatience * usual)) return;
   double other = 1e9;
   for (const auto& [id, e] : known_.engines) {
     if (id == a.engine || e.reads() != a.reader || !usable(e, r)) continue;
--- a/tests/router_retry_test.cpp
+++ b/tests/router_retry_test.cpp
@@ -272,6 +272,22 @@
   EXPECT_NE(f.sent(), silent);
 }
 
+// Ends of attempts are told as 50 ms long, so 900 ms are many times what another reader would take.
+TEST(Patience, AReadIsNotCalledOffEarlyInALongAim) {
+  for (const Duration aim : {Duration{600ms}, Duration{4s}}) {
+    Settings settings = plain_settings();
+    for (RequestClass& cls : settings.classes) cls.aim = aim;
+    Front f(settings);
+    for (RequestId id = 1; id < 9; ++id) f.serve(id);
+    f.arrive(20);
+    ASSERT_TRUE(reads(f.sent()));
+    f.run(900ms);
+    EXPECT_EQ(f.logged<Cancel>(), aim < 1s ? 1 : 0);
+    f.run(1300ms);
+    EXPECT_EQ(f.logged<Cancel>(), 1) << "past half of its aim a silent reader is left all the same";
+  }
+}
+
 TEST(Patience, AnUnsafeWriterAttemptIsNeverCalledOff) {
   Front f;
   for (RequestId id = 1; id < 9; ++id) f.serve(id);
