Learn a prefill instance's pace from the tokens it read, not from those claimed

Seen: on the new machines reads found 41 to 74% of their prompts kept where this process's own table claimed 0 to 2%: other processes' sends had filled the cache. settle() divided a read's time by the whole prompt, so paces were two to four times too quick, predicted reads of 0.33 s took 0.36 s in the middle but 1.2 s at the nineth tenth, and patience ran out on sound servers. Also: a cached_tokens beyond the prompt made the learned share exceed 1 and the cost of a read negative, for every later choice (Beliefs::learn_found); it is bounded now, as is the figure for the pace. Tests: Pace.IsLearnedFromWhatWasRead..., FoundShare.StaysAShare... (both fail without).

--- a/src/estimates/beliefs.cpp
+++ b/src/estimates/beliefs.cpp
@@ -74,7 +74,7 @@
 
 void Beliefs::learn_found(std::uint32_t cls, int place, Tokens prompt, Tokens told) {
   const double share = found_share(cls, place);
-  const double heard = double(told) / double(std::max<Tokens>(1, prompt));
+  const double heard = std::clamp(double(told) / double(std::max<Tokens>(1, prompt)), 0.0, 1.0);
   found[{cls, place}] = share + kPaceGain * (heard - share);
 }
 
--- a/src/router/attempts.cpp
+++ b/src/router/attempts.cpp
@@ -113,6 +113,15 @@
   e.request_over || r.stage == Stage::over ? close(r) : follow_up(r, a, e);
 }
 
+// Tokens that a prefill instance worked off until a read ended: own work queued before it, and what it did
+// not find kept. Other processes' sends fill its cache, so the own table's claim would tell several times as
+// much, and with it a pace several times too quick.
+double Router::Impl::work_read(const Request& r, const Attempt& a, Tokens found) {
+  const double queued = a.ahead - a.work;
+  const Tokens kept = std::clamp<Tokens>(found, 0, r.ask.prompt_tokens);
+  return queued + kBaseWork + double(r.ask.prompt_tokens - kept);
+}
+
 // Books an ended attempt at its server.
 void Router::Impl::settle(Engine& e, Request& r, const Attempt& a, const AttemptEnded& end, bool streamed) {
   e.out -= 1;
@@ -121,7 +130,7 @@
   known_.hear(e, end.report);
   const Outcome o = end.outcome;
   if (o == Outcome::state_held) {
-    known_.sample(e, seconds(end.elapsed) / a.ahead);
+    known_.sample(e, seconds(end.elapsed) / work_read(r, a, end.detail));
     note(e, r, true);
     took(r, true, end.elapsed);
     known_.learn_found(r.ask.request_class, a.place, r.ask.prompt_tokens, end.detail);
--- a/src/router/impl.hpp
+++ b/src/router/impl.hpp
@@ -70,6 +70,7 @@
   void on(const StreamStarted& e);
   Attempt* find(RequestId id, int number);
   void on(const AttemptEnded& e);
+  [[nodiscard]] static double work_read(const Request& r, const Attempt& a, Tokens found);
   void settle(Engine& e, Request& r, const Attempt& a, const AttemptEnded& end, bool streamed);
   static void recount(Engine& e, const Request& r, const Attempt& a, Tokens found);
   void follow_up(Request& r, Attempt& a, const AttemptEnded& e);
--- a/tests/estimates_test.cpp
+++ b/tests/estimates_test.cpp
@@ -7,6 +7,7 @@
 #include "estimates/beliefs.hpp"
 #include "estimates/prefix_table.hpp"
 #include "estimates/quota.hpp"
+#include "front.hpp"
 
 namespace eiderarch::test {
 namespace {
@@ -168,5 +169,41 @@
   EXPECT_DOUBLE_EQ(site.known.move_time(reader, writer, 4000), usual);
 }
 
+// Reads of 6,000 tokens that all end in the same time. Each reader tells its own figure of tokens found kept.
+// Returns how many of the last ten go to the second reader.
+int reads_at_second(Tokens found_at_first, Tokens found_at_second) {
+  constexpr RequestId kLearned = 24, kCounted = 10;
+  Front f;
+  int at_second = 0;
+  for (RequestId id = 1; id <= kLearned + kCounted; ++id) {
+    f.arrive(id, 0, 6000);
+    const EngineId reader = f.sent().value_or(0);
+    EXPECT_TRUE(reads(reader));
+    at_second += id > kLearned && reader == kReaderB;
+    f.end(id, 0, reader, Outcome::state_held, reader == kReaderA ? found_at_first : found_at_second);
+    f.end(id, 1, f.sent().value_or(0), Outcome::served, 0, true);
+    f.run(100ms);
+  }
+  return at_second;
+}
+
+TEST(Pace, IsLearnedFromWhatWasReadNotFromWhatTheTableClaimed) {
+  EXPECT_GE(reads_at_second(5500, 0), 9) << "the first had next to nothing to read and took as long";
+}
+
+TEST(Pace, AFigureBeyondThePromptCountsAsTheWholePrompt) {
+  EXPECT_EQ(reads_at_second(1'000'000'000, 6000), reads_at_second(6000, 6000));
+  EXPECT_EQ(reads_at_second(-1'000'000'000, 0), reads_at_second(0, 0));
+}
+
+TEST(FoundShare, StaysAShareWhateverAnAnswerTells) {
+  const Settings settings = plain_settings();
+  Beliefs beliefs(settings);
+  for (int i = 0; i < 50; ++i) beliefs.learn_found(0, 0, 6000, 1'000'000'000);
+  EXPECT_LE(beliefs.found_share(0, 0), 1.0);
+  for (int i = 0; i < 50; ++i) beliefs.learn_found(0, 0, 6000, -1'000'000'000);
+  EXPECT_GE(beliefs.found_share(0, 0), 0.0);
+}
+
 }  // namespace
 }  // namespace eiderarch::test
