Refuse for a jam only where read and first token take most of the time left

Cause: tuned.hpp, kEase 0.3 and kFull 0.75 of 0.7 of the time left: refusing began where a read took a fifth of the aim and left only tries at half of it, so a queue that would still be in time was taken for a jam. Change: all is sent up to 0.6 of that time, only tries from 1.2. Tests: Admission.ReadsThatLeaveHalfOfTheAimFreeAreNoJam (fails without), ...LetOnlyAPartIn (holds the other end).

--- a/src/router/tuned.hpp
+++ b/src/router/tuned.hpp
@@ -34,8 +34,8 @@
                                       //   begun anew elsewhere costs its work twice, and one on time nothing
 constexpr double kOnTime = 0.7;       // part of the time left to the aim that a predicted read may take
 constexpr double kClaimFrom = 0.5;    // part of that time, from which a place ahead is worth its price
-constexpr double kEase = 0.3;         // part of the time left that read and first token take, from which not
-constexpr double kFull = 0.75;        //   all is sent, and at which only tries are
+constexpr double kEase = 0.6;         // part of the time left that read and first token take, from which not
+constexpr double kFull = 1.2;         //   all is sent, and at which only tries are: half refused at 0.9
 constexpr double kTryPart = 0.1;      // part that is sent all the same, to hear when the jam is over
 constexpr std::size_t kHomes = 3;     // home readers of a beginning; a hot one would jam a single home
 constexpr double kAway = 2.0;  // times its cost; what is read away from home jams that reader for its own
--- a/tests/router_path_test.cpp
+++ b/tests/router_path_test.cpp
@@ -286,5 +286,33 @@
   EXPECT_GE(f.logged<Release>(), 1);
 }
 
+// Serves requests, so far apart, whose reads take that long; returns how many of the last forty get an
+// attempt at all.
+int admitted_of_forty(Duration read_time, Duration apart) {
+  constexpr RequestId kLearned = 30, kCounted = 40;
+  Settings settings = plain_settings();
+  settings.writers_read = false;  // no way past the readers
+  Front f(settings);
+  int admitted = 0;
+  for (RequestId id = 1; id <= kLearned + kCounted; ++id) {
+    f.arrive(id);
+    const auto first = f.sent();
+    admitted += id > kLearned && first.has_value();
+    if (reads(first)) {
+      f.give({AttemptEnded{id, 0, *first, Outcome::state_held, read_time, false, 0, {}}});
+      f.end(id, 1, f.sent().value_or(0), Outcome::served, 0, true);
+    } else if (first) {
+      f.end(id, 0, *first, Outcome::served, 0, true);
+    }
+    f.run(apart);
+  }
+  return admitted;
+}
+
+// The aim is 2.15 s.
+TEST(Admission, ReadsThatLeaveHalfOfTheAimFreeAreNoJam) { EXPECT_EQ(admitted_of_forty(800ms, 1s), 40); }
+
+TEST(Admission, ReadsThatTakeLongerThanTheAimLetOnlyAPartIn) { EXPECT_LT(admitted_of_forty(4s, 4s), 30); }
+
 }  // namespace
 }  // namespace eiderarch::test
