Bound the age of a start seen to happen, so that a stepped wall clock warms nobody

Where the wall clock is stepped back after that, an instance that starts has a started_ms up to an hour too old; Fleet::update believed it (fleet.cpp, min(started, now) alone), took it for warm, and the slow-start budget fell away. Change: a changed start, or a new id in a change, is no older than the word from discovery before it; the watch's empty lines count as word. What a process cannot know stays so: the age of what its first whole list names.

--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -70,6 +70,7 @@
       if (r->attempt && r->engine == engine) r->inbox.push(InstanceLost{});
     }
   }
+  if (news.scope == eiderarch::ListScope::changes && news.entries.empty()) return;
   eiderarch::ListChanged event{news.scope, {}};
   for (const Listed& row : news.entries) event.entries.push_back(fleet_.told(row.entry.engine));
   post(std::move(event));
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -8,6 +8,14 @@
 using eiderarch::EngineState;
 using eiderarch::ListScope;
 
+// The wall clock of this machine or of another may have been stepped since this process started, so a listed
+// start may seem up to an hour older than it is. 0 stands for no time but for 'long ago'.
+Time Fleet::counted_start(Time listed, Time now, bool witnessed) const {
+  if (listed == Time{0}) return listed;
+  const Time started = std::min(listed, now);
+  return witnessed ? std::max(started, *last_word_) : started;
+}
+
 std::vector<EngineId> Fleet::update(Time now, const FleetNews& news) {
   std::vector<EngineId> lost;
   if (news.scope == ListScope::failed) return lost;
@@ -29,7 +37,9 @@
     if (!fresh && (restarted || (gone && member.entry.state != EngineState::gone))) {
       lost.push_back(row.entry.engine);
     }
-    const Time started = restarted ? std::min(row.entry.started, now) : member.entry.started;
+    // A whole list may name for the first time what has long been running elsewhere.
+    const bool witnessed = last_word_ && (!fresh || news.scope == ListScope::changes);
+    const Time started = restarted ? counted_start(row.entry.started, now, witnessed) : member.entry.started;
     member.listed_start = row.entry.started;
     const std::uint32_t kind_before = fresh ? eiderarch::kKindNotNamed : member.entry.kind;
     member.entry = row.entry;
@@ -43,6 +53,7 @@
       member.told_off = now;
     }
   }
+  if (news.scope != ListScope::disk) last_word_ = now;
   return lost;
 }
 
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -21,8 +21,10 @@
     Time listed_start{0};          // `entry.started` as listed; the entry's is never later than when it came
   };
 
-  // Takes news; returns the instances whose process is gone or new. A start that lies ahead of `now` (a clock
-  // that is off, a fault) counts as a start at the moment it was first told, until the list names another.
+  // Takes news; returns the instances whose process is gone or new. Changes without an entry say that nothing
+  // has changed. A start that lies ahead of `now` (a clock that is off, a fault) counts as a start at the
+  // moment it was first told, until the list names another; one that this process saw happen is no older than
+  // the word from discovery before it, however old the wall clock makes it.
   std::vector<EngineId> update(Time now, const FleetNews& news);
   // The ids that are out for maintenance from now on; returns the instances for which that changed. One that
   // comes back counts as started now: operators restart it meanwhile, and the list may not have said so.
@@ -35,7 +37,10 @@
   [[nodiscard]] const std::map<EngineId, Member>& members() const { return members_; }
 
  private:
+  [[nodiscard]] Time counted_start(Time listed, Time now, bool witnessed) const;
+
   std::map<EngineId, Member> members_;
+  std::optional<Time> last_word_;  // from discovery itself; a list from disk is none
   std::set<std::string> out_;
 };
 
--- a/src/net/platform/discovery_watch.cpp
+++ b/src/net/platform/discovery_watch.cpp
@@ -128,7 +128,13 @@
   if (!heard_ && failures_ > 1)
     log::write("discovery", "a watch again after " + std::to_string(failures_) + " calls");
   heard_ = true;  // an empty line too says that the watch works
-  pending_.feed(bytes, [this](const std::string& text) { line(text); });
+  bool told = false;
+  pending_.feed(bytes, [this, &told](const std::string& text) {
+    told = true;
+    line(text);
+  });
+  const bool nothing_changed = !told && pending_.open() == 0;
+  if (nothing_changed) news_(core::FleetNews{});
   if (pending_.open() > kMostLine) {
     log::write("discovery", "a line without an end");
     pending_.clear();
