Accept past failed accepts, also as a listener ends and at the agent check

Seen by reading: HttpServer::stop_listening broke off at the first error of accept4 (http_server.cpp, 'if (socket < 0) break'), so one aborted connection in the queue, or a momentary EMFILE, reset all that waited behind it. The running listener rested up to 0.1 s for errors that Linux hands on from one connection (EPROTO, ENETDOWN and the like; libevent passes over EINTR and ECONNABORTED alone). The agent check had no error callback: without descriptors libevent calls it again without a pause. It also leaked a socket without a buffer. Change: errors of one connection are passed over (bounded); where descriptors or room are wanting the listener goes on for up to 1 s past its end, asked again every 20 ms, while what is read is answered; the agent check rests 0.1 s. Held already: the server's own listener does not spin.

--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -164,7 +164,11 @@
   const auto begun = [&] {
     if (operations) operations->ending();
     // What waits at a passed socket is its next holder's to take, and towards the front that one is ready.
-    config.passed_socket ? server.stop_listening() : front.set_ready(false);
+    if (config.passed_socket) {
+      static_cast<void>(server.stop_listening());  // accepts nothing there, so it always stops
+    } else {
+      front.set_ready(false);
+    }
     if (succession) succession->ending();
   };
   WindDown wind_down(loop, *conductor, {&server}, kPlatformAccepting, begun, reload);
--- a/src/app/wind_down.cpp
+++ b/src/app/wind_down.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr core::Duration kLookEvery = 20ms;
+constexpr core::Duration kAcceptLate = 1s;    // for those that found no descriptor or no room
 constexpr core::Duration kSilent = 100ms;     // a connection accepted last has its request on the way
 constexpr core::Duration kLastWords = 300ms;  // for the answers and releases of what a second word gives up
 
@@ -62,10 +63,8 @@
   for (net::HttpServer* server : servers_) server->wind_down();
   begun_();
   if (give_up_after_) last_ = loop_.at(loop_.now() + *give_up_after_, [this] { conductor_.abandon(); });
-  next_ = loop_.at(loop_.now() + accepting_, [this] {
-    for (net::HttpServer* server : servers_) server->stop_listening();
-    look();
-  });
+  listen_until_ = loop_.now() + accepting_ + kAcceptLate;
+  next_ = loop_.at(loop_.now() + accepting_, [this] { look(); });
 }
 
 // Somebody at a terminal who asks again wants an end at once: what has not begun to be answered hears so.
@@ -76,14 +75,22 @@
   last_ = loop_.at(loop_.now() + kLastWords, [this] { loop_.stop(); });
 }
 
+bool WindDown::stop_listening() {
+  bool stopped = true;
+  for (net::HttpServer* server : servers_) stopped &= server->stop_listening();
+  return stopped;
+}
+
 // Idle connections are closed now that no new one comes; the rest end with their answers.
 void WindDown::look() {
+  const bool listening = !stop_listening() && loop_.now() < listen_until_;
   std::size_t connections = 0;
   for (net::HttpServer* server : servers_) {
     server->close_idle(kSilent);
     connections += server->connections();
   }
-  if (connections == 0 && conductor_.open_requests() == 0 && !conductor_.releasing()) return loop_.stop();
+  if (!listening && connections == 0 && conductor_.open_requests() == 0 && !conductor_.releasing())
+    return loop_.stop();
   next_ = loop_.at(loop_.now() + kLookEvery, [this] { look(); });
 }
 
--- a/src/app/wind_down.hpp
+++ b/src/app/wind_down.hpp
@@ -30,6 +30,7 @@
  private:
   void begin();
   void hurry();
+  [[nodiscard]] bool stop_listening();
   void look();
 
   net::Loop& loop_;
@@ -39,6 +40,7 @@
   std::function<void()> begun_, reload_;
   std::optional<core::Duration> give_up_after_;
   std::unique_ptr<core::Timer> next_, last_;
+  core::Time listen_until_{0};  // no longer, though some could not be accepted
   bool ending_ = false, hurried_ = false;
 };
 
--- a/src/net/appliance/agent_check.cpp
+++ b/src/net/appliance/agent_check.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr std::size_t kMostConnections = 16;
+constexpr core::Duration kAcceptRest = std::chrono::milliseconds(100);
 constexpr timeval kPatience{2, 0};  // for a balancer that does not close its side
 
 }  // namespace
@@ -39,7 +40,12 @@
           [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self) {
             guarded("agent", [=] { static_cast<AgentCheck*>(self)->accept(socket); });
           },
-          this)) {}
+          this)) {
+  evconnlistener_set_error_cb(listener_.get(), [](evconnlistener*, void* self) {
+    if (accept_error_is_transient(EVUTIL_SOCKET_ERROR())) return;
+    guarded("agent", [=] { static_cast<AgentCheck*>(self)->rest_listener(); });
+  });
+}
 
 AgentCheck::~AgentCheck() = default;
 
@@ -57,7 +63,10 @@
   }
   BufferEventPtr owner(bufferevent_socket_new(loop_.base(), socket, BEV_OPT_CLOSE_ON_FREE));
   bufferevent* connection = owner.get();
-  if (connection == nullptr) return;
+  if (connection == nullptr) {
+    evutil_closesocket(socket);
+    return;
+  }
   connections_.emplace(connection, std::move(owner));
   const std::string line = agent_line(standing_());
   // What the balancer sends (its agent-send text) is read and ignored: closed with it unread, the connection
@@ -75,6 +84,12 @@
   bufferevent_write(connection, line.data(), line.size());
 }
 
+// Out of descriptors, libevent would try again without a pause.
+void AgentCheck::rest_listener() {
+  evconnlistener_disable(listener_.get());
+  accept_again_ = loop_.at(loop_.now() + kAcceptRest, [this] { evconnlistener_enable(listener_.get()); });
+}
+
 void AgentCheck::over(bufferevent* connection, void* self) {
   static_cast<AgentCheck*>(self)->connections_.erase(connection);
 }
--- a/src/net/appliance/agent_check.hpp
+++ b/src/net/appliance/agent_check.hpp
@@ -29,12 +29,14 @@
 
  private:
   void accept(evutil_socket_t socket);
+  void rest_listener();
   static void over(bufferevent* connection, void* self);
 
   Loop& loop_;
   std::function<Standing()> standing_;
   std::map<bufferevent*, BufferEventPtr> connections_;
   ListenerPtr listener_;
+  std::unique_ptr<core::Timer> accept_again_;
 };
 
 }  // namespace bankmux::net
--- a/src/net/http/http_server.cpp
+++ b/src/net/http/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <cerrno>
 #include <chrono>
 #include <iterator>
 #include <vector>
@@ -18,6 +19,7 @@
 
 constexpr core::Duration kLookEvery = 100ms;
 constexpr core::Duration kLookForRoom = 10ms;
+constexpr int kMostAcceptFailures = 1024;  // in a row of accepts; twice a listener's queue
 // When room is needed, in this order. A client may find its connection closed after 2 s without a request;
 // those who connect to ask do so at once, and whole.
 struct ForRoom {
@@ -54,6 +56,7 @@
                                  : loop.adopt(std::get<int>(place), accepted, this);
   // Out of descriptors, libevent would try again without a pause: the listener rests until the next look.
   evconnlistener_set_error_cb(listener_.get(), [](evconnlistener* listener, void*) {
+    if (accept_error_is_transient(EVUTIL_SOCKET_ERROR())) return;
     log::write("server", "cannot accept a connection");
     evconnlistener_disable(listener);
   });
@@ -119,14 +122,28 @@
 
 // A connection that the kernel has taken for us already would be reset with the listener: a client that came
 // in the last moment gets its answer.
-void HttpServer::stop_listening() {
-  while (listener_ && own_socket_ && connections_.size() < limits_.connections) {
+bool HttpServer::stop_listening() {
+  if (listener_ && own_socket_ && !accept_waiting()) return false;
+  listener_.reset();
+  return true;
+}
+
+// Accepts until nothing waits. False where it had to leave some.
+bool HttpServer::accept_waiting() {
+  int failures = 0;
+  while (connections_.size() < limits_.connections && failures < kMostAcceptFailures) {
     const int socket =
         accept4(evconnlistener_get_fd(listener_.get()), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (socket < 0) break;
-    accept(socket);
+    if (socket >= 0) {
+      accept(socket);
+      continue;
+    }
+    const int error = errno;
+    if (error == EAGAIN || error == EWOULDBLOCK) return true;
+    if (!accept_error_is_transient(error)) return false;
+    ++failures;
   }
-  listener_.reset();
+  return false;
 }
 
 void HttpServer::close_idle(core::Duration silent) {
--- a/src/net/http/http_server.hpp
+++ b/src/net/http/http_server.hpp
@@ -112,8 +112,9 @@
 
   // From now on each answer asks its client to close the connection.
   void wind_down(bool on = true) { winding_down_ = on; }
-  // What waits to be accepted is accepted first; at a socket that was passed it is the next holder's.
-  void stop_listening();
+  // What waits to be accepted is accepted first; at a socket that was passed it is the next holder's. False
+  // where there was no room or no descriptor for all of it: it listens on, and is to be told again.
+  [[nodiscard]] bool stop_listening();
   // A client's connection in the middle of a stream that another process began; takes the descriptor. Null
   // where the state can't be read.
   [[nodiscard]] std::unique_ptr<Incoming> take_over(const core::Passed& passed);
@@ -127,6 +128,7 @@
   friend class HttpConnection;
   friend class Incoming;
   void accept(evutil_socket_t socket);
+  [[nodiscard]] bool accept_waiting();
   // So little room is left that no connection is kept beyond its answer.
   [[nodiscard]] bool crowded() const { return connections_.size() * 4 > limits_.connections * 3; }
   [[nodiscard]] std::string census() const;  // how many connections are in which phase
--- a/src/net/loop/loop.cpp
+++ b/src/net/loop/loop.cpp
@@ -4,7 +4,9 @@
 #include <netinet/in.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <chrono>
+#include <iterator>
 #include <stdexcept>
 #include <utility>
 
@@ -53,6 +55,12 @@
   }
 }
 
+bool accept_error_is_transient(int error) {
+  constexpr int kTransient[] = {EINTR,     ECONNABORTED, EPROTO,       ENETDOWN,   ENOPROTOOPT,
+                                EHOSTDOWN, ENONET,       EHOSTUNREACH, EOPNOTSUPP, ENETUNREACH};
+  return std::ranges::find(kTransient, error) != std::end(kTransient);
+}
+
 Loop::Loop() : base_(event_base_new()) {
   if (!base_) throw std::runtime_error("libevent offers no loop here");
   soon_event_.reset(event_new(
--- a/src/net/loop/loop.hpp
+++ b/src/net/loop/loop.hpp
@@ -34,6 +34,10 @@
 // C frames.
 void guarded(const char* where, const std::function<void()>& run);
 
+// Whether an error of accept4 speaks of one connection alone, or of a signal: Linux hands on what already
+// went wrong on a waiting connection's network. The next one may be accepted at once.
+[[nodiscard]] bool accept_error_is_transient(int error);
+
 class Loop : public core::Scheduler {
  public:
   Loop();
