--- /dev/null
+++ b/tests/faults/held_release_test.cpp
@@ -0,0 +1,102 @@
+// What is held for a request is released in time, whatever its attempts were written into: incident 41. The
+// program, its discovery and the servers are joined by sockets with a relay in front of each server.
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <thread>
+
+#include "faults/stand_in_platform.hpp"
+
+using namespace faults;
+using stories::client_request;
+using stories::Platform;
+
+namespace {
+
+constexpr int kClientWaitMs = 2500;  // long past the time in which what is held has to be released
+const RuleLimits kLimits;
+// After which an idle connection carries another request.
+constexpr std::chrono::milliseconds kQuarantine{60};
+
+struct World {
+  StandInPlatform servers;
+  Platform platform;
+  explicit World(Pace pace = {}, const nlohmann::json& settings = stories::site_settings())
+      : servers(2, 3, pace), platform(servers.listed(), settings) {}
+
+  // Leaves idle connections to every server.
+  void warm_up() {
+    std::vector<std::unique_ptr<stories::Wire>> clients;
+    for (int i = 0; i < 12; ++i) {
+      clients.push_back(platform.connect());
+      clients.back()->send(client_request("warm" + std::to_string(i), "consulta", 5000, 3000));
+    }
+    for (const auto& client : clients) REQUIRE(client->receive_all().starts_with("HTTP/1.1 200"));
+    std::this_thread::sleep_for(kQuarantine);
+  }
+  std::string ask(const std::string& id, const std::string& request_class, int prompt = 3000) {
+    const std::string answer = platform.ask(client_request(id, request_class, kClientWaitMs, prompt));
+    return answer.substr(0, answer.find("\r\n"));
+  }
+  void check_held(const std::string& id) {
+    const auto events = servers.history().events();
+    for (const HistoryEvent& event : events) {
+      if (event.id == id) UNSCOPED_INFO(to_text(event));
+    }
+    CHECK(longest_held(events, id) <= kLimits.held);
+  }
+};
+
+}  // namespace
+
+TEST_CASE("Faults: what a prefill instance holds is released in time while decode instances are silent") {
+  const auto [dials, name] = GENERATE(table<Relay::Dials, const char*>({
+      {Relay::Dials::pass, "only open connections"},
+      {Relay::Dials::swallow, "new connections too"},
+      {Relay::Dials::queue, "new connections stay in the kernel's queue"},
+  }));
+  const std::string request_class = GENERATE("consulta", "ajuste");
+  INFO(name << ", " << request_class);
+  World world;
+  world.warm_up();
+  for (StandInServer* server : world.servers.of_role(false)) {
+    server->relay().set_dials(dials);
+    server->relay().silence_open();
+  }
+  (void)world.ask("silent", request_class);
+  world.check_held("silent");
+}
+
+TEST_CASE("Faults: a release reaches a running server while all idle connections are silent") {
+  const std::string request_class = GENERATE("consulta", "ajuste");
+  INFO(request_class);
+  World world;
+  world.warm_up();
+  for (StandInServer* server : world.servers.of_role(false)) {
+    server->relay().set_dials(Relay::Dials::swallow);
+    server->relay().silence_open();
+  }
+  for (StandInServer* server : world.servers.of_role(true)) server->silence_after_prefill(true);
+  (void)world.ask("silent", request_class);
+  world.check_held("silent");
+}
+
+TEST_CASE("Faults: a reservation is released in time while its prefill never arrives") {
+  // Prefills that take most of the time to the class's aim, so that a place is asked for ahead.
+  nlohmann::json settings = stories::site_settings();
+  settings["categories"][0]["targetS"] = 0.8;
+  World world({.prefill_least = 300, .prefill_most = 300}, settings);
+  for (int i = 0; i < 4; ++i) REQUIRE(world.ask("warm" + std::to_string(i), "consulta") == "HTTP/1.1 200 OK");
+  for (StandInServer* server : world.servers.of_role(true)) {
+    server->relay().set_dials(Relay::Dials::swallow);
+    server->relay().silence_open();
+  }
+  (void)world.ask("silent", "consulta", 20000);
+  const auto events = world.servers.history().events();
+  const auto reserved = [](const HistoryEvent& event) {
+    return event.id == "silent" && event.kind == HistoryEvent::Kind::place_held;
+  };
+  for (const HistoryEvent& event : events) UNSCOPED_INFO(to_text(event));
+  REQUIRE(std::ranges::any_of(events, reserved));
+  world.check_held("silent");
+}
--- /dev/null
+++ b/tests/faults/history.cpp
@@ -0,0 +1,211 @@
+#include "faults/history.hpp"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <set>
+#include <sstream>
+
+namespace faults {
+
+using Kind = HistoryEvent::Kind;
+
+namespace {
+
+const std::map<Kind, const char*> kNames = {{Kind::client_sent, "client sent"},
+                                            {Kind::client_left, "client left"},
+                                            {Kind::client_answered, "client answered"},
+                                            {Kind::client_unserved, "client unserved"},
+                                            {Kind::attempt_taken, "attempt taken"},
+                                            {Kind::attempt_ended, "attempt ended"},
+                                            {Kind::cache_held, "cache held"},
+                                            {Kind::place_held, "place held"},
+                                            {Kind::released, "released"},
+                                            {Kind::server_silenced, "server silenced"},
+                                            {Kind::server_healed, "server healed"},
+                                            {Kind::drain_told, "drain told"}};
+
+// Follows one request's events: since when something is held for it while no attempt of it is out.
+class HeldClock {
+ public:
+  // Takes the next event; returns how long what was held had waited until then.
+  double next(const HistoryEvent& event) {
+    const double waited = running(event.at);
+    switch (event.kind) {
+      case Kind::cache_held:
+      case Kind::place_held:
+        held_ = true;
+        since_ = event.at;
+        break;
+      case Kind::attempt_taken:
+        ++out_;
+        // A decode instance takes what is held; while a prefill is out the clock rests.
+        if (event.detail == "decode") held_ = false;
+        break;
+      case Kind::attempt_ended:
+        out_ = std::max(0, out_ - 1);
+        since_ = event.at;
+        break;
+      case Kind::released:
+        held_ = false;
+        break;
+      default:
+        break;
+    }
+    return waited;
+  }
+  // How long it has waited by then, where it still does.
+  [[nodiscard]] double running(double now) const { return held_ && out_ == 0 ? now - since_ : 0.0; }
+
+ private:
+  bool held_ = false;
+  int out_ = 0;
+  double since_ = 0.0;
+};
+
+using ByRequest = std::map<std::string, std::vector<HistoryEvent>>;
+
+ByRequest by_request(const std::vector<HistoryEvent>& events) {
+  ByRequest result;
+  for (const HistoryEvent& event : events) {
+    if (!event.id.empty()) result[event.id].push_back(event);
+  }
+  return result;
+}
+
+class Checker {
+ public:
+  Checker(const RuleLimits& limits, double until) : limits_(limits), until_(until) {}
+
+  void check(const std::string& id, const std::vector<HistoryEvent>& events) {
+    id_ = id;
+    check_held(events);
+    check_answer(events);
+    check_executions(events);
+    check_attempts(events);
+  }
+  void check_drains(const std::vector<HistoryEvent>& events) {
+    std::map<std::string, double> told;
+    for (const HistoryEvent& event : events) {
+      if (event.kind == Kind::drain_told) told.emplace(event.server, event.at);
+      if (event.kind != Kind::attempt_taken || !told.contains(event.server)) continue;
+      const double after = event.at - told.at(event.server);
+      id_ = event.id;
+      if (after > limits_.drain_grace + limits_.transit) breach("drain", "sent after the grace", after);
+    }
+  }
+  [[nodiscard]] std::vector<std::string> found() const { return found_; }
+
+ private:
+  void breach(const char* rule, const std::string& what, double figure) {
+    std::ostringstream text;
+    text << rule << ": " << id_ << ": " << what << " (" << figure << " s)";
+    found_.push_back(text.str());
+  }
+  void check_held(const std::vector<HistoryEvent>& events) {
+    HeldClock clock;
+    double worst = 0.0;
+    for (const HistoryEvent& event : events) worst = std::max(worst, clock.next(event));
+    worst = std::max(worst, clock.running(until_));
+    if (worst > limits_.held) breach("held", "neither taken nor released in time", worst);
+  }
+  void check_answer(const std::vector<HistoryEvent>& events) {
+    std::optional<HistoryEvent> sent;
+    int answers = 0;
+    bool excused = false;
+    for (const HistoryEvent& event : events) {
+      if (event.kind == Kind::client_sent) sent = event;
+      excused |= event.kind == Kind::client_left;
+      if (event.kind == Kind::client_unserved) {
+        excused = true;  // it has a breach of its own
+        breach("lost", "its connection ended without an answer: " + event.detail, event.at - sent->at);
+      }
+      if (event.kind != Kind::client_answered) continue;
+      ++answers;
+      const double late = event.at - sent->at - sent->number;
+      if (event.number != 200 && late > limits_.answer_slack) breach("lost", "answered late", late);
+    }
+    if (!sent || excused) return;
+    if (answers > 1) breach("lost", "answered twice", answers);
+    if (answers == 0 && until_ > sent->at + sent->number + limits_.answer_slack) {
+      breach("lost", "never answered", until_ - sent->at);
+    }
+  }
+  // A class that must not be repeated runs once at most.
+  void check_executions(const std::vector<HistoryEvent>& events) {
+    int runs = 0;
+    bool safe = false;
+    for (const HistoryEvent& event : events) {
+      if (event.kind == Kind::client_sent) safe = event.detail == "consulta";
+      runs += event.kind == Kind::attempt_taken && event.detail == "decode" ? 1 : 0;
+      runs -= event.kind == Kind::attempt_ended && event.detail == "no cache" ? 1 : 0;
+    }
+    if (!safe && runs > 1) breach("duplicate", "executed more than once", runs);
+  }
+  void check_attempts(const std::vector<HistoryEvent>& events) {
+    std::optional<double> left;
+    std::optional<HistoryEvent> sent;
+    for (const HistoryEvent& event : events) {
+      if (event.kind == Kind::client_sent) sent = event;
+      if (event.kind == Kind::client_left) left = event.at;
+      if (event.kind != Kind::attempt_taken) continue;
+      if (left && event.at > *left + limits_.after_leaving + limits_.transit) {
+        breach("lost", "an attempt began after its client had left", event.at - *left);
+      }
+      if (!sent) continue;
+      const double rest = sent->at + sent->number - event.at;
+      if (event.number > rest + limits_.told_slack + limits_.transit) {
+        breach("told", "more time than its client has left", event.number - rest);
+      }
+    }
+  }
+
+  RuleLimits limits_;
+  double until_;
+  std::string id_;
+  std::vector<std::string> found_;
+};
+
+}  // namespace
+
+double seconds_now() {
+  static const auto begin = std::chrono::steady_clock::now();
+  return std::chrono::duration<double>(std::chrono::steady_clock::now() - begin).count();
+}
+
+void History::add(Kind kind, const std::string& id, const std::string& server, const std::string& detail,
+                  double number) {
+  const std::lock_guard lock(mutex_);
+  events_.push_back({seconds_now(), kind, id, server, detail, number});
+}
+
+std::vector<HistoryEvent> History::events() const {
+  const std::lock_guard lock(mutex_);
+  return events_;
+}
+
+double longest_held(const std::vector<HistoryEvent>& events, const std::string& id) {
+  HeldClock clock;
+  double worst = 0.0;
+  for (const HistoryEvent& event : events) {
+    if (event.id == id) worst = std::max(worst, clock.next(event));
+  }
+  return std::max(worst, clock.running(seconds_now()));
+}
+
+std::vector<std::string> breaches(const std::vector<HistoryEvent>& events, const RuleLimits& limits,
+                                  double until) {
+  Checker checker(limits, until);
+  for (const auto& [id, own] : by_request(events)) checker.check(id, own);
+  checker.check_drains(events);
+  return checker.found();
+}
+
+std::string to_text(const HistoryEvent& event) {
+  std::ostringstream text;
+  text << event.at << ' ' << kNames.at(event.kind) << ' ' << event.id << ' ' << event.server << ' '
+       << event.detail << ' ' << event.number;
+  return text.str();
+}
+
+}  // namespace faults
--- /dev/null
+++ b/tests/faults/relay.cpp
@@ -0,0 +1,149 @@
+#include "faults/relay.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <stdexcept>
+#include <utility>
+#include <vector>
+
+namespace faults {
+
+namespace {
+
+constexpr int kLookEvery = 5;  // milliseconds until a change of mode counts at the latest
+
+sockaddr_in loopback(int port) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(port));
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return address;
+}
+
+void no_delay(int socket) {
+  const int on = 1;
+  setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+}  // namespace
+
+Relay::Relay(std::string target) : target_(std::move(target)) {
+  listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address = loopback(0);
+  socklen_t size = sizeof address;
+  if (bind(listener_, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
+      listen(listener_, SOMAXCONN) != 0) {
+    throw std::runtime_error("the relay cannot listen");
+  }
+  getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
+  port_ = ntohs(address.sin_port);
+  thread_ = std::thread([this] { run(); });
+}
+
+Relay::~Relay() {
+  ending_ = true;
+  thread_.join();
+  for (Pair& pair : pairs_) {
+    close(pair.near);
+    close(pair.far);
+  }
+  close(listener_);
+}
+
+void Relay::silence_open() {
+  const std::lock_guard lock(mutex_);
+  for (Pair& pair : pairs_) pair.silent = true;
+}
+
+void Relay::reset_open() {
+  const std::lock_guard lock(mutex_);
+  for (Pair& pair : pairs_) reset(pair);
+  pairs_.clear();
+}
+
+std::size_t Relay::open() const {
+  const std::lock_guard lock(mutex_);
+  return pairs_.size();
+}
+
+void Relay::reset(Pair& pair) {
+  const linger now{1, 0};
+  for (const int side : {pair.near, pair.far}) {
+    setsockopt(side, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    close(side);
+  }
+}
+
+void Relay::accept_one() {
+  const int near = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+  if (near < 0) return;
+  const int far = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const sockaddr_in address = loopback(std::stoi(target_.substr(target_.find(':') + 1)));
+  Pair pair{near, far};
+  if (dials_ == Dials::reset ||
+      connect(far, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
+    return reset(pair);
+  }
+  no_delay(near);
+  no_delay(far);
+  pair.silent = dials_ == Dials::swallow;
+  pairs_.push_back(pair);
+}
+
+bool Relay::carry(int from, int to, bool& open) {
+  std::array<char, 16384> bytes;
+  const ssize_t got = recv(from, bytes.data(), bytes.size(), MSG_DONTWAIT);
+  if (got < 0) return errno == EAGAIN || errno == EINTR;
+  if (got == 0) {
+    open = false;
+    shutdown(to, SHUT_WR);
+    return true;
+  }
+  for (ssize_t sent = 0; sent < got;) {
+    const ssize_t now = send(to, bytes.data() + sent, std::size_t(got - sent), MSG_NOSIGNAL);
+    if (now <= 0) return false;
+    sent += now;
+  }
+  return true;
+}
+
+void Relay::run() {
+  while (!ending_) {
+    std::vector<pollfd> ready;
+    {
+      const std::lock_guard lock(mutex_);
+      if (dials_ != Dials::queue) ready.push_back({listener_, POLLIN, 0});
+      for (const Pair& pair : pairs_) {
+        if (pair.silent) continue;
+        if (pair.near_open) ready.push_back({pair.near, POLLIN, 0});
+        if (pair.far_open) ready.push_back({pair.far, POLLIN, 0});
+      }
+    }
+    poll(ready.data(), ready.size(), kLookEvery);
+    const std::lock_guard lock(mutex_);
+    const auto is_ready = [&ready](int side) {
+      for (const pollfd& entry : ready) {
+        if (entry.fd == side && entry.revents != 0) return true;
+      }
+      return false;
+    };
+    pairs_.remove_if([&](Pair& pair) {
+      if (pair.silent) return false;
+      bool good = true;
+      if (pair.near_open && is_ready(pair.near)) good &= carry(pair.near, pair.far, pair.near_open);
+      if (pair.far_open && is_ready(pair.far)) good &= carry(pair.far, pair.near, pair.far_open);
+      if (good && (pair.near_open || pair.far_open)) return false;
+      good ? void((close(pair.near), close(pair.far))) : reset(pair);
+      return true;
+    });
+    if (dials_ != Dials::queue && is_ready(listener_)) accept_one();
+  }
+}
+
+}  // namespace faults
