Release what is held in time beside attempts that were only written

Ruled out: a lost timer, a dropped release, the module. Cause: HeldCaches released only at a request's end or with no attempt out (held_caches.cpp: release_all, release_elsewhere's attempt_out_), and 'out' began with the write into the local socket (Exchange::written). A release then waited up to 1 s on one idle connection (kCallPatience). Change: what is held has a clock of its own (HeldCaches), which only an answer stops; 50 ms before the release time all is released, beside an unheard attempt too, and the module is told (HeldReleased), so that it reads again instead of handing over. A release goes on from a silent call after 40 ms: to its holder by a new connection, and to the servers last heard (ReleaseDelivery, split off). A dial under way then ends without a write. Each attempt of a request stands in its log line, an overdue release has one of its own, /-/metrics counts both. Two Core cases told how often a release goes out; they expect the earlier release and the new connection now, as exactly as before.

--- a/include/eiderarch/router.hpp
+++ b/include/eiderarch/router.hpp
@@ -190,6 +190,12 @@
   bool held = false;
 };
 
+// What was held for the request, a state or a place, has been released: its time was up, and no attempt was
+// known to have arrived. An attempt that is out may still be served.
+struct HeldReleased {
+  RequestId id = 0;
+};
+
 struct RequestGone {
   RequestId id = 0;
 };
@@ -205,8 +211,8 @@
   LoadReport report;
 };
 
-using Event = std::variant<ListChanged, RequestArrived, StreamStarted, AttemptEnded, PlaceAnswer, RequestGone,
-                           TimerFired, ProbeEnded>;
+using Event = std::variant<ListChanged, RequestArrived, StreamStarted, AttemptEnded, PlaceAnswer,
+                           HeldReleased, RequestGone, TimerFired, ProbeEnded>;
 
 // ---- Actions
 // ----------------------------------------------------------------------------------------------------
--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -22,13 +22,10 @@
       discovery_(discovery),
       log_(std::move(log)),
       router_(settings_.module),
-      held_(
-          {settings_.module.zone, settings_.max_releases}, fleet_, scheduler_, instances_,
-          [this](RequestId id) {
-            const auto request = requests_.find(id);
-            return request != requests_.end() && request->second->attempt != nullptr;
-          },
-          log_) {
+      held_({settings_.module.zone, settings_.max_releases, settings_.module.rules.release_within}, fleet_,
+            scheduler_, instances_,
+            {[this](RequestId id) { return attempt_state(id); },
+             [this](RequestId id, Duration held_for) { held_overdue(id, held_for); }, log_}) {
   figures_.by_class.resize(settings_.module.classes.size());
 }
 
@@ -158,6 +155,7 @@
       member->target, [this, engine] { return may_send(engine); },
       [this, engine, sent](const AttemptResult& result) {
         const AttemptEnd end = judge(result, false);
+        if (end.answered) fleet_.note_heard(engine, scheduler_.now());
         post(eiderarch::ProbeEnded{engine, end.outcome, scheduler_.now() - sent, end.report});
       });
 }
--- a/src/core/conductor.hpp
+++ b/src/core/conductor.hpp
@@ -90,6 +90,7 @@
   [[nodiscard]] bool releasing() const { return held_.releasing(); }
   [[nodiscard]] const Fleet& fleet() const { return fleet_; }
   [[nodiscard]] const Figures& figures() const { return figures_; }
+  [[nodiscard]] const ReleaseFigures& release_figures() const { return held_.release_figures(); }
   // Own attempts out at an instance.
   [[nodiscard]] std::size_t out_at(EngineId engine) const;
 
@@ -104,6 +105,7 @@
     AnswerPtr answer = {};
     bool passed_on = false;
     bool ended_there = false;  // by the instance: it is not at work on the request any more
+    bool answered = false;     // the instance has said anything: the attempt had arrived
   };
   // One attempt, from the module's order to its end.
   struct AttemptInHand {
@@ -112,7 +114,7 @@
     Time sent{0};
     ExecutionRecord::Place place;
     bool prefill = false;  // at an instance that can't execute
-    bool written = false;
+    std::optional<Time> written;
     bool aborted = false;
     std::optional<EngineId> reservation_at;  // to be asked for once the request is written
     std::optional<AttemptEnd> end;
@@ -130,6 +132,7 @@
   // What an attempt that is out does with one event; it may end by that.
   void attempt_step(Request& r, AttemptInHand& attempt, RequestEvent& event);
   void close_attempt(Request& r, AttemptInHand& attempt);
+  void record_attempt(Request& r, const AttemptInHand& attempt);
   void account_for_execution(Request& r, const AttemptInHand& attempt);
   void account_for_held_caches(Request& r, const AttemptInHand& attempt);
   // Gives the client its final answer where the attempt's end brought one; false where the request goes on.
@@ -141,6 +144,12 @@
   [[nodiscard]] static AttemptEnd judge(const AttemptResult& result, bool prefill);
   void log_failure(const Request& r, const AttemptInHand& attempt) const;
   void reserve(Request& r, EngineId writer);
+  // Something has been answered for a reservation that was asked for beside the prefill `attempt`.
+  void reservation_answered(RequestId id, const PayloadPtr& payload, EngineId writer, int attempt,
+                            RequestId module_id, ClaimAnswer answer);
+  [[nodiscard]] HeldCaches::AttemptState attempt_state(RequestId id) const;
+  // What was held for the request has been released, for its time was up.
+  void held_overdue(RequestId id, Duration held_for);
   [[nodiscard]] bool may_send(EngineId engine) const;
   // Whether that event has to wait until the last attempt's end has been heard; it comes again then.
   bool postpone(Request& r, const RequestEvent& event);
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -70,6 +70,10 @@
   return changed;
 }
 
+void Fleet::note_heard(EngineId engine, Time now) {
+  if (const auto it = members_.find(engine); it != members_.end()) it->second.last_heard = now;
+}
+
 eiderarch::EngineEntry Fleet::told(EngineId engine) const {
   const Member& member = members_.at(engine);
   eiderarch::EngineEntry entry = member.entry;
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -19,6 +19,7 @@
     std::optional<Time> told_off;  // since when it is known to drain or to be gone
     bool out = false;              // for maintenance, by an operator's word
     Time listed_start{0};          // `entry.started` as listed; the entry's is never later than when it came
+    Time last_heard{0};            // when it last answered anything here
   };
 
   // Takes news; returns the instances whose process is gone or new. Changes without an entry say that nothing
@@ -29,6 +30,8 @@
   // The ids that are out for maintenance from now on; returns the instances for which that changed. One that
   // comes back counts as started now: operators restart it meanwhile, and the list may not have said so.
   std::vector<EngineId> set_out(Time now, std::set<std::string> ids);
+  // It has answered something.
+  void note_heard(EngineId engine, Time now);
   // The entry as the module is to know it: one that is out drains, whatever the list says.
   [[nodiscard]] eiderarch::EngineEntry told(EngineId engine) const;
   // Whether the list has an instance of that id, or it is out.
--- a/src/core/held_caches.hpp
+++ b/src/core/held_caches.hpp
@@ -1,50 +1,69 @@
-// The KV caches and reservations that requests may hold at instances, and their release. Each is released as
-// soon as its request has no use for it, and a release is tried until it has arrived.
+// The KV caches and reservations that requests may hold at instances, and the clock that the release time
+// sets them. The clock runs while no attempt of the request is known to have arrived at a running instance: a
+// write into a local socket stops nothing. When the time is up all is released, beside such an attempt too.
 #pragma once
 
-#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
 #include "core/fleet.hpp"
 #include "core/ports.hpp"
+#include "core/release_delivery.hpp"
 
 namespace bankmux::core {
 
 struct HeldCachesSettings {
-  std::uint32_t zone = 0;           // this conductor's: releases prefer it
-  std::size_t max_releases = 2000;  // waiting at a time; beyond that the oldest is dropped
+  std::uint32_t zone = 0;
+  std::size_t max_releases = 2000;
+  Duration release_within{0};  // of the settings; 0: none is told, and no clock runs
 };
 
 class HeldCaches {
  public:
-  // Whether an attempt of that request is out.
-  using AttemptOut = std::function<bool(RequestId)>;
-  using LogFunction = std::function<void(const char* topic, const std::string& text)>;
+  // `unproven`: its instance has not begun to answer, so that it may never have arrived there.
+  enum class AttemptState { none, unproven, heard };
+  struct Hooks {
+    // Of the attempt of that request that is out.
+    std::function<AttemptState(RequestId)> attempt_state;
+    // What was held for the request has been released, for its time is up. `held_for`: since the clock began.
+    std::function<void(RequestId, Duration held_for)> overdue;
+    ReleaseDelivery::LogFunction log;
+  };
 
-  HeldCaches(HeldCachesSettings settings, const Fleet& fleet, Scheduler& scheduler, Instances& instances,
-             AttemptOut attempt_out, LogFunction log);
+  HeldCaches(HeldCachesSettings settings, Fleet& fleet, Scheduler& scheduler, Instances& instances,
+             Hooks hooks);
 
+  // A prefill of the request begins there: from its end on its cache may be held.
+  void prefill_begins(RequestId id, const PayloadPtr& payload, EngineId engine);
   // From now on something may be held there for the request.
   void may_hold(RequestId id, const PayloadPtr& payload, EngineId engine);
   // Nothing is held there for it any more.
   void holds_nothing(RequestId id, EngineId engine);
   [[nodiscard]] bool may_hold_any(RequestId id) const { return held_.contains(id); }
-  // The request's stream has begun, and with that the instances let go of the rest by themselves.
+  // The request's stream has begun, and with that the instances release the rest by themselves.
   void forget(RequestId id) { held_.erase(id); }
 
+  // An attempt that has arrived is over: what is held has the release time from now on.
+  void restart_clock(RequestId id);
+  // An attempt that may not have arrived is over: a clock that runs goes on, one that has struck begins anew.
+  void continue_clock(RequestId id);
+  // The attempt that is out has been proved to have arrived.
+  void stop_clock(RequestId id);
+
   // Releases all that may be held for the request, wherever it is.
   void release_all(RequestId id);
   // Releases what may be held for the request at one instance.
   void release_at(RequestId id, const PayloadPtr& payload, EngineId engine);
-  // Drops the releases still tried there: they would let go of what a new attempt is about to make. True
-  // where there was one, so that the attempt has to account for what was held.
-  bool withdraw_releases(const PayloadPtr& payload, EngineId engine);
+  // Drops the releases still tried there: they would release what a new attempt is about to make. True where
+  // there was one: the attempt has to account for what was held, whose clock goes on.
+  bool withdraw_releases(RequestId id, const PayloadPtr& payload, EngineId engine);
   // Whether a release has not arrived yet, at any instance.
-  [[nodiscard]] bool releasing() const;
+  [[nodiscard]] bool releasing() const { return delivery_.pending(); }
+  [[nodiscard]] const ReleaseFigures& release_figures() const { return delivery_.figures(); }
 
   // A reservation has been asked for at an instance, and later been answered. What the answer is worth:
   enum class Reservation {
@@ -56,46 +75,27 @@
   Reservation reservation_answered(RequestId id, const PayloadPtr& payload, EngineId engine);
 
  private:
-  // Where something may lie for a request, until a stream has begun or the release has arrived.
+  // Where something may lie for a request, until a stream has begun or the release has begun.
   struct Held {
     PayloadPtr payload;
     std::set<EngineId> at;
+    std::optional<EngineId> prefilling_at;  // where a cache is being made
     int reservations_out = 0;
     bool let_go = false;
+    std::optional<Time> since;  // the clock's beginning, while it runs
+    std::unique_ptr<Timer> due;
   };
-  struct Release {
-    RequestId id = 0;
-    PayloadPtr payload;
-    EngineId engine = 0;
-    Time started{0};  // of the process that may hold it
-    Time until{0};
-    bool out = false;
-    bool refused = false;     // a try has not arrived
-    bool taken = false;       // by another instance, which releases what is held at any
-    std::set<EngineId> told;  // others that were asked to
-    std::unique_ptr<Timer> again, elsewhere;
-  };
-
-  // Whether the instance that the release is for can hold nothing of it any more, or its time is up.
-  [[nodiscard]] bool pointless(const Release& release, const Fleet::Member* holder) const;
-  [[nodiscard]] int releases_out(EngineId engine) const;
-  void try_release(std::uint64_t number);
-  void try_again_later(Release& release, std::uint64_t number);
-  void release_elsewhere(std::uint64_t number);
-  void look_elsewhere_later(Release& release, std::uint64_t number);
-  // The instance to ask next in the holder's place: in the own zone where one is left there, else drawn by
-  // the number. None where all have been asked.
-  [[nodiscard]] const Fleet::Member* next_to_ask(const Release& release, std::uint64_t number) const;
+  Held& record(RequestId id, const PayloadPtr& payload);
+  void run_clock(RequestId id, Held& held, Time since);
+  void time_is_up(RequestId id);
+  // How long after the clock's beginning a release has to go out.
+  [[nodiscard]] Duration allowed() const;
 
   HeldCachesSettings settings_;
-  const Fleet& fleet_;
   Scheduler& scheduler_;
-  Instances& instances_;
-  AttemptOut attempt_out_;
-  LogFunction log_;
+  Hooks hooks_;
   std::map<RequestId, Held> held_;
-  std::map<std::uint64_t, Release> releases_;
-  std::uint64_t last_release_ = 0;
+  ReleaseDelivery delivery_;
 };
 
 }  // namespace bankmux::core
--- a/src/core/ports.hpp
+++ b/src/core/ports.hpp
@@ -164,11 +164,13 @@
   [[nodiscard]] virtual std::optional<Passed> passed() const { return std::nullopt; }
 };
 
-// What a request can bear of a pooled connection.
+// What a request or call can bear of a pooled connection.
 struct ConnectionTerms {
   // What it can bring does no harm: a break under the request, which may then be sent again, and an answer of
   // the exchange before it, come late, whose word would prove nothing of this request.
   bool trouble_harmless = false;
+  // Only a new connection will do: every idle one may have fallen silent.
+  bool fresh = false;
 };
 
 enum class ClaimAnswer { held, not_held, unknown };
@@ -185,9 +187,10 @@
   // Asks a writer to hold a place.
   virtual void claim(const Target& target, const PayloadPtr& payload, std::function<bool()> may_write,
                      std::function<void(ClaimAnswer)> done) = 0;
-  // Lets go of all that is held for the request there; done(true) once the call has arrived.
-  virtual void release(const Target& target, const PayloadPtr& payload, std::function<bool()> may_write,
-                       std::function<void(bool)> done) = 0;
+  // Releases all that is held for the request there; done(true) once the call has been answered, which alone
+  // proves that it has arrived.
+  virtual void release(const Target& target, const PayloadPtr& payload, ConnectionTerms terms,
+                       std::function<bool()> may_write, std::function<void(bool)> done) = 0;
   virtual void probe(const Target& target, std::function<bool()> may_write,
                      std::function<void(const AttemptResult&)> done) = 0;
   // The process behind that name is gone or new: what waits on its old connections is over.
--- a/src/core/request.hpp
+++ b/src/core/request.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include "core/execution.hpp"
 #include "core/ports.hpp"
@@ -27,14 +28,16 @@
 struct SendTooLate {};      // the module's limit on when its last byte may leave
 struct StreamStalled {};
 struct ClientCaughtUp {};  // it has taken what it was given
+struct HeldOverdue {};     // what was held has been released, for its time was up
 struct InstanceLost {};    // the list no longer knows the attempt's instance
 struct Aborted {};         // this process is about to be ended
 struct PassedOn {};        // another process goes on with its stream
 
-using RequestEvent = std::variant<eiderarch::Send, eiderarch::Cancel, eiderarch::Refuse, eiderarch::Fail,
-                                  eiderarch::ClaimWriter, RequestWritten, AnswerData, AttemptResult,
-                                  ClientGone, DeadlinePassed, DecisionOverdue, AttemptTimedOut, SendTooLate,
-                                  StreamStalled, ClientCaughtUp, InstanceLost, Aborted, PassedOn>;
+using RequestEvent =
+    std::variant<eiderarch::Send, eiderarch::Cancel, eiderarch::Refuse, eiderarch::Fail,
+                 eiderarch::ClaimWriter, RequestWritten, AnswerData, AttemptResult, ClientGone,
+                 DeadlinePassed, DecisionOverdue, AttemptTimedOut, SendTooLate, StreamStalled, ClientCaughtUp,
+                 HeldOverdue, InstanceLost, Aborted, PassedOn>;
 
 struct Request : AttemptEvents {
   RequestId id = 0;
@@ -64,6 +67,7 @@
   std::optional<Time> first;       // when its stream began
   std::optional<Time> last_event;  // of the attempt that is out; none while its client holds it back
   bool paced = false;              // the attempt that is out counts at its instance's pace
+  std::vector<AttemptRecord> trail;
   RequestRecord::Result result = RequestRecord::Result::failed;
   Ending ending;
   Task lifecycle;
--- a/src/core/request_lifecycle.cpp
+++ b/src/core/request_lifecycle.cpp
@@ -15,6 +15,7 @@
 // How long the end of a connection may be on its way to an instance: some times the longest way between
 // zones. A further attempt on a pooled connection near by, or an answer to a client, is quicker.
 constexpr Duration kCloseTravels = 10ms;
+constexpr Duration kSlowDial = 100ms;     // from which one that is given up speaks against its instance
 constexpr Duration kDrainMargin = 100ms;  // before the end of the drain's grace: the bytes need time too
 
 }  // namespace
@@ -38,6 +39,7 @@
       attempt_step(r, attempt, step);
     }
     close_attempt(r, attempt);
+    record_attempt(r, attempt);
     account_for_execution(r, attempt);
     account_for_held_caches(r, attempt);
     over = conclude_attempt(r, attempt);
@@ -111,7 +113,7 @@
     patience = order.timeout;
     r.limit = scheduler_.at(now + patience, [&r] { r.inbox.push(AttemptTimedOut{}); });
   }
-  if (attempt.prefill) held_.may_hold(r.id, r.ask.payload, order.engine);
+  if (attempt.prefill) held_.prefill_begins(r.id, r.ask.payload, order.engine);
   r.engine = order.engine;
   r.execution_recorded = false;
   if (order.by > 0us) r.too_late = scheduler_.at(order.by, [&r] { r.inbox.push(SendTooLate{}); });
@@ -128,7 +130,7 @@
     // A release still being tried there would let go of what this attempt is about to make or fetch. What it
     // was to let go of is the attempt's to account for from here on. While the attempt dials the release goes
     // on: a send that has not arrived does not stop the clock of what is held.
-    r.owes_release |= held_.withdraw_releases(r.ask.payload, engine);
+    r.owes_release |= held_.withdraw_releases(r.id, r.ask.payload, engine);
     return true;
   };
   // A prefill has no effect, and new connections cost busy prefill instances dear.
@@ -140,7 +142,7 @@
 
 void Conductor::attempt_step(Request& r, AttemptInHand& attempt, RequestEvent& event) {
   if (std::holds_alternative<RequestWritten>(event)) {
-    attempt.written = true;
+    attempt.written = scheduler_.now();
     ++figures_.written;
     // A place is asked for once the prefill is on its way: earlier, the decode instance may not know of it.
     if (attempt.reservation_at) reserve(r, *attempt.reservation_at);
@@ -170,6 +172,13 @@
   } else if (std::holds_alternative<SendTooLate>(event) && r.attempt->progress() <= Progress::unwritten) {
     // Its last byte would arrive outside the window in which the class may be repeated.
     attempt.end = AttemptEnd{Outcome::not_connected, 0, {}, false};
+  } else if (std::holds_alternative<HeldOverdue>(event) && !attempt.prefill &&
+             r.attempt->progress() <= Progress::unwritten) {
+    // What it was to fetch is gone, and it has not arrived. A dial that has just begun says nothing of its
+    // instance: then it counts as one that found no cache.
+    const bool slow = scheduler_.now() - attempt.sent >= kSlowDial;
+    attempt.end =
+        slow ? AttemptEnd{Outcome::not_connected, 0, {}, false} : AttemptEnd{Outcome::busy, 1, {}, false};
   }
 }
 
@@ -186,6 +195,16 @@
   if (std::exchange(r.paced, false)) silence_.ended(r.engine);
 }
 
+void Conductor::record_attempt(Request& r, const AttemptInHand& attempt) {
+  const Fleet::Member* member = fleet_.find(attempt.order.engine);
+  const Time now = scheduler_.now();
+  const AttemptEnd& end = *attempt.end;
+  if (end.answered) fleet_.note_heard(attempt.order.engine, now);
+  r.trail.push_back({member != nullptr ? member->target.id : "?", attempt.prefill, attempt.sent - r.arrived,
+                     attempt.written ? *attempt.written - r.arrived : Duration{-1}, now - r.arrived,
+                     end.outcome, end.answered});
+}
+
 void Conductor::account_for_execution(Request& r, const AttemptInHand& attempt) {
   const Outcome outcome = attempt.end->outcome;
   r.last = outcome;
@@ -201,7 +220,7 @@
   const bool never_ran = eiderarch::proves_not_executed(end.outcome);
   const bool owes_release = std::exchange(r.owes_release, false);
   if (attempt.prefill) {
-    if (end.outcome == Outcome::state_held) return;
+    if (end.outcome == Outcome::state_held) return held_.restart_clock(r.id);
     held_.holds_nothing(r.id, engine);
     // A prefill that was cut off may have ended well just then: its cache would stay pinned there.
     if (!never_ran || owes_release) held_.release_at(r.id, r.ask.payload, engine);
@@ -218,6 +237,8 @@
   if (unheard && !r.streaming && end.answer == nullptr && held_.may_hold_any(r.id)) {
     held_.may_hold(r.id, r.ask.payload, engine);
   }
+  // A write into a local socket has proved nothing: only an answer shows that the attempt had arrived.
+  end.answered ? held_.restart_clock(r.id) : held_.continue_clock(r.id);
 }
 
 bool Conductor::conclude_attempt(Request& r, AttemptInHand& attempt) {
@@ -284,6 +305,7 @@
   AttemptEnd end;
   end.outcome = outcome_of(result, prefill);
   end.ended_there = !result.closed_here;
+  end.answered = result.verdict != Verdict::broken || result.progress >= Progress::head;
   if (result.verdict == Verdict::broken) {
     end.told = result.told;
     return end;
@@ -318,8 +340,8 @@
   if (what == nullptr) return;
   const Fleet::Member* member = fleet_.find(attempt.order.engine);
   const Duration after = scheduler_.now() - attempt.sent;
-  log_("attempt", "request " + std::to_string(r.id) + " at " + (member != nullptr ? member->target.id : "?") +
-                      ": " + what + " after " + std::to_string(after.count() / 1000) + " ms" +
+  log_("attempt", "request " + r.ask.name + " at " + (member != nullptr ? member->target.id : "?") + ": " +
+                      what + " after " + std::to_string(after.count() / 1000) + " ms" +
                       (r.streaming ? ", within its stream" : ""));
 }
 
@@ -340,23 +362,52 @@
   const int number = r.attempt_number();
   instances_.claim(
       member->target, r.ask.payload, [this, writer] { return may_send(writer); },
-      [this, id = r.id, module_id = r.module_id, number, writer,
-       payload = r.ask.payload](ClaimAnswer answer) {
-        const HeldCaches::Reservation worth = held_.reservation_answered(id, payload, writer);
-        const auto request = requests_.find(id);
-        if (worth == HeldCaches::Reservation::not_on_record) {
-          // Released while the call was out: it may have overtaken the release. Or the stream has begun at
-          // another instance, which released all that was held by then, and of this place no more.
-          const bool elsewhere = request == requests_.end() || request->second->engine != writer;
-          if (answer != ClaimAnswer::not_held && elsewhere) held_.release_at(id, payload, writer);
-          return;
-        }
-        if (worth == HeldCaches::Reservation::released) return;
-        if (answer == ClaimAnswer::unknown || request == requests_.end()) return;
-        const Request& now = *request->second;
-        if (now.module_id != module_id || now.attempt_number() != number || !now.attempt) return;
-        post(eiderarch::PlaceAnswer{module_id, number, writer, answer == ClaimAnswer::held});
-      });
+      [this, id = r.id, module_id = r.module_id, number, writer, payload = r.ask.payload](
+          ClaimAnswer answer) { reservation_answered(id, payload, writer, number, module_id, answer); });
+}
+
+void Conductor::reservation_answered(RequestId id, const PayloadPtr& payload, EngineId writer, int attempt,
+                                     RequestId module_id, ClaimAnswer answer) {
+  const HeldCaches::Reservation worth = held_.reservation_answered(id, payload, writer);
+  const auto request = requests_.find(id);
+  if (answer != ClaimAnswer::unknown) fleet_.note_heard(writer, scheduler_.now());
+  if (worth == HeldCaches::Reservation::not_on_record) {
+    // Released while the call was out: it may have overtaken the release. Or the stream has begun at another
+    // instance, which released all that was held by then, and of this place no more.
+    const bool elsewhere = request == requests_.end() || request->second->engine != writer;
+    if (answer != ClaimAnswer::not_held && elsewhere) held_.release_at(id, payload, writer);
+    return;
+  }
+  if (worth == HeldCaches::Reservation::released) return;
+  if (answer == ClaimAnswer::unknown || request == requests_.end()) return;
+  const Request& now = *request->second;
+  if (now.module_id != module_id || now.attempt_number() != attempt || !now.attempt) return;
+  // A place is answered for while its prefill is under way: that has arrived.
+  held_.stop_clock(id);
+  post(eiderarch::PlaceAnswer{module_id, attempt, writer, answer == ClaimAnswer::held});
+}
+
+HeldCaches::AttemptState Conductor::attempt_state(RequestId id) const {
+  const auto request = requests_.find(id);
+  if (request == requests_.end() || request->second->attempt == nullptr)
+    return HeldCaches::AttemptState::none;
+  const bool heard = request->second->attempt->progress() >= Progress::head;
+  return heard ? HeldCaches::AttemptState::heard : HeldCaches::AttemptState::unproven;
+}
+
+void Conductor::held_overdue(RequestId id, Duration held_for) {
+  ++figures_.held_overdue;
+  const auto it = requests_.find(id);
+  if (it == requests_.end()) return;
+  Request& r = *it->second;
+  const Fleet::Member* member = fleet_.find(r.engine);
+  log_("held", "request " + r.ask.name + ": released what was held for " +
+                   std::to_string(held_for.count() / 1000) + " ms; " +
+                   (r.attempt == nullptr ? "no attempt is out"
+                                         : "nothing heard of its attempt at " +
+                                               (member != nullptr ? member->target.id : "?")));
+  post(eiderarch::HeldReleased{r.module_id});
+  r.inbox.push(HeldOverdue{});
 }
 
 bool Conductor::repeat_safe(const Request& r) const {
@@ -390,7 +441,7 @@
 }
 
 void Conductor::fail_barred(Request& r) {
-  log_("guard", "request " + std::to_string(r.id) + " may have run: its class forbids what was to follow");
+  log_("guard", "request " + r.ask.name + " may have run: its class forbids what was to follow");
   post(eiderarch::RequestGone{r.module_id});
   if (r.resumed) return break_off(r);
   fail(r, Ending::Cause::failed);
@@ -436,7 +487,7 @@
   if (!observer_) return;
   const Fleet::Member* member = r.attempts > 0 ? fleet_.find(r.engine) : nullptr;
   observer_({r.ask, r.result, r.ending, member != nullptr ? member->target.id : "", r.attempts,
-             r.first ? *r.first - r.arrived : Duration{-1}, scheduler_.now() - r.arrived});
+             r.first ? *r.first - r.arrived : Duration{-1}, scheduler_.now() - r.arrived, r.trail});
 }
 
 }  // namespace bankmux::core
--- a/src/core/request_record.hpp
+++ b/src/core/request_record.hpp
@@ -13,6 +13,18 @@
 struct Ask {
   eiderarch::RequestArrived facts;  // its id is given by the conductor
   PayloadPtr payload;
+  std::string name;  // the request's id as its client gave it, for the log
+};
+
+// One attempt of a request, told with the request's end. Times count from the request's arrival.
+struct AttemptRecord {
+  std::string server;
+  bool prefill = false;
+  Duration begun{0};
+  Duration written{-1};  // its last byte left; -1: it did not
+  Duration ended{0};
+  eiderarch::Outcome outcome = eiderarch::Outcome::error;
+  bool answered = false;  // its server has said anything
 };
 
 // One request's lifecycle in short, told once it has ended.
@@ -26,6 +38,7 @@
   int attempts = 0;
   Duration first{-1};  // from arrival to the first event; -1: none came
   Duration total{0};
+  const std::vector<AttemptRecord>& trail;
 };
 
 // Final answers of one class. What its client left counts nowhere.
@@ -43,6 +56,7 @@
   std::uint64_t continued = 0, saved = 0, finished = 0;
   std::uint64_t suspected = 0;                  // of those, given up on the failure detector's suspicion
   std::uint64_t passed_on = 0, taken_over = 0;  // streams, to the next process and from the one before
+  std::uint64_t held_overdue = 0;               // requests of which something was released as its time was up
 
   // Counts a final answer under its class. A class that the settings do not name counts nowhere.
   void count_end(std::uint32_t request_class, RequestRecord::Result result);
--- a/src/net/instances/instance_client.cpp
+++ b/src/net/instances/instance_client.cpp
@@ -20,6 +20,8 @@
 namespace {
 
 constexpr Duration kCallPatience = 1s;  // for calls without a body; an unknown read answers after 0.3 s
+// Calls without a body have no effect that a break or a late answer could double.
+constexpr core::ConnectionTerms kHarmless{.trouble_harmless = true};
 constexpr std::size_t kMostBody = 1024 * 1024;  // of an answer that is not a stream
 constexpr std::size_t kMostAnswer =
     16 * 1024 * 1024;                                // of one in the chat dialect, which is what is asked for
@@ -289,13 +291,12 @@
  public:
   using Done = std::function<void(const Call&, bool whole)>;
   Call(Loop& loop, InstancePool& pool, const std::string& address, std::string request,
-       std::function<bool()> may_write, Done done)
+       core::ConnectionTerms terms, std::function<bool()> may_write, Done done)
       : may_write_(std::move(may_write)),
         done_(std::move(done)),
         limit_(loop.at(loop.now() + kCallPatience, [this] { on_end(false); })),
         exchange_(std::make_unique<Exchange>(
-            pool, address, [text = std::move(request)] { return text; }, nullptr, core::ConnectionTerms{true},
-            *this)) {}
+            pool, address, [text = std::move(request)] { return text; }, nullptr, terms, *this)) {}
 
   [[nodiscard]] const ResponseParser& response() const { return exchange_->response(); }
   [[nodiscard]] Progress progress() const { return exchange_->progress(); }
@@ -324,15 +325,17 @@
     : loop_(loop), pool_(loop, limits), dialect_(dialect) {}
 InstanceClient::~InstanceClient() = default;
 
-void InstanceClient::call(const core::Target& target, std::string request, std::function<bool()> may_write,
+void InstanceClient::call(const core::Target& target, std::string request, core::ConnectionTerms terms,
+                          std::function<bool()> may_write,
                           std::function<void(const Call&, bool whole)> done) {
   const auto place = calls_.emplace(calls_.end());
-  *place = std::make_unique<Call>(loop_, pool_, target.address, std::move(request), std::move(may_write),
-                                  [this, place, done = std::move(done)](const Call& call, bool whole) {
-                                    const std::unique_ptr<Call> mine = std::move(*place);
-                                    calls_.erase(place);
-                                    done(call, whole);
-                                  });
+  *place =
+      std::make_unique<Call>(loop_, pool_, target.address, std::move(request), terms, std::move(may_write),
+                             [this, place, done = std::move(done)](const Call& call, bool whole) {
+                               const std::unique_ptr<Call> mine = std::move(*place);
+                               calls_.erase(place);
+                               done(call, whole);
+                             });
 }
 
 std::unique_ptr<core::Attempt> InstanceClient::start(const core::Target& target,
@@ -359,7 +362,7 @@
 
 void InstanceClient::claim(const core::Target& target, const core::PayloadPtr& payload,
                            std::function<bool()> may_write, std::function<void(core::ClaimAnswer)> done) {
-  call(target, call_text(target, "POST", "/bootstrap/rooms/" + payload->id), std::move(may_write),
+  call(target, call_text(target, "POST", "/bootstrap/rooms/" + payload->id), kHarmless, std::move(may_write),
        [done = std::move(done)](const Call& call, bool whole) {
          const int status = whole ? call.response().status() : 0;
          done(status == 200   ? core::ClaimAnswer::held
@@ -369,14 +372,15 @@
 }
 
 void InstanceClient::release(const core::Target& target, const core::PayloadPtr& payload,
-                             std::function<bool()> may_write, std::function<void(bool)> done) {
-  call(target, call_text(target, "DELETE", "/bootstrap/rooms/" + payload->id), std::move(may_write),
+                             core::ConnectionTerms terms, std::function<bool()> may_write,
+                             std::function<void(bool)> done) {
+  call(target, call_text(target, "DELETE", "/bootstrap/rooms/" + payload->id), terms, std::move(may_write),
        [done = std::move(done)](const Call& call, bool) { done(call.response().has_head()); });
 }
 
 void InstanceClient::probe(const core::Target& target, std::function<bool()> may_write,
                            std::function<void(const AttemptResult&)> done) {
-  call(target, call_text(target, "GET", dialect_ == Dialect::platform ? "/-/load" : "/v1/models"),
+  call(target, call_text(target, "GET", dialect_ == Dialect::platform ? "/-/load" : "/v1/models"), kHarmless,
        std::move(may_write), [done = std::move(done)](const Call& call, bool whole) {
          AttemptResult result;
          result.progress = call.progress();
--- a/src/net/instances/instance_client.hpp
+++ b/src/net/instances/instance_client.hpp
@@ -29,8 +29,8 @@
                                            core::AttemptEvents& events);
   void claim(const core::Target& target, const core::PayloadPtr& payload, std::function<bool()> may_write,
              std::function<void(core::ClaimAnswer)> done) override;
-  void release(const core::Target& target, const core::PayloadPtr& payload, std::function<bool()> may_write,
-               std::function<void(bool)> done) override;
+  void release(const core::Target& target, const core::PayloadPtr& payload, core::ConnectionTerms terms,
+               std::function<bool()> may_write, std::function<void(bool)> done) override;
   void probe(const core::Target& target, std::function<bool()> may_write,
              std::function<void(const core::AttemptResult&)> done) override;
   void forget(const core::Target& target) override;
@@ -39,8 +39,8 @@
 
  private:
   class Call;
-  void call(const core::Target& target, std::string request, std::function<bool()> may_write,
-            std::function<void(const Call&, bool whole)> done);
+  void call(const core::Target& target, std::string request, core::ConnectionTerms terms,
+            std::function<bool()> may_write, std::function<void(const Call&, bool whole)> done);
 
   Loop& loop_;
   InstancePool pool_;
--- a/src/net/instances/instance_pool.cpp
+++ b/src/net/instances/instance_pool.cpp
@@ -57,7 +57,7 @@
       body_(std::move(body)),
       events_(events) {
   attempt_ = body_ != nullptr;
-  if (pool_.trusts_kept(terms.trouble_harmless)) {
+  if (!terms.fresh && pool_.trusts_kept(terms.trouble_harmless)) {
     connection_ = pool_.take_idle(address_, terms.trouble_harmless);
   }
   reused_ = connection_ != nullptr;
--- a/src/net/openai/front.cpp
+++ b/src/net/openai/front.cpp
@@ -362,7 +362,7 @@
   }
   payload->body = std::move(call.body);
   payload->streamed = call.facts.streamed;
-  core::Ask ask{call.facts.arrived, std::move(payload)};
+  core::Ask ask{call.facts.arrived, payload, payload->id};
   ask.facts.tenant = appliance_.tenant_number(ticket->tenant);
   ask.facts.deadline = scheduler_.now() + call.facts.patience;
   Incoming& client = *incoming;
--- a/src/net/platform/management_page.cpp
+++ b/src/net/platform/management_page.cpp
@@ -28,6 +28,13 @@
   add(text, "open_requests", conductor_.open_requests());
   add(text, "registry_entries", conductor_.listed());
   add(text, "out_of_rotation", conductor_.out_of_rotation());
+  const core::ReleaseFigures& releases = conductor_.release_figures();
+  add(text, "held_overdue", figures.held_overdue);
+  add(text, "releases.begun", releases.begun);
+  add(text, "releases.answered", releases.answered);
+  add(text, "releases.answered_by_any", releases.answered_by_any);
+  add(text, "releases.tries_failed", releases.tries_failed);
+  add(text, "releases.abandoned", releases.abandoned);
   return text;
 }
 
--- a/src/net/platform/platform_front.cpp
+++ b/src/net/platform/platform_front.cpp
@@ -79,7 +79,7 @@
                    const std::vector<std::string>& tenants) {
   core::Ask ask;
   auto payload = std::make_shared<core::Payload>();
-  payload->id = request_name(incoming);
+  payload->id = ask.name = request_name(incoming);
   const std::string lane = needed(incoming, "X-Lane");
   const auto cls = std::ranges::find(classes, lane);
   if (cls == classes.end()) throw BadHeader{"X-Lane names no class: '" + lane + "'"};
@@ -163,7 +163,7 @@
     return;
   }
   auto payload = std::make_shared<core::Payload>();
-  payload->id = name;
+  payload->id = stream.ask.name = name;
   stream.ask.payload = std::move(payload);
   // Told first: where its attempt can't be made, the request is over before its id is known here.
   auto id = std::make_shared<core::RequestId>(0);
--- a/src/router/held.cpp
+++ b/src/router/held.cpp
@@ -18,6 +18,15 @@
   it->second.place = e.held;
 }
 
+// Nothing is held any more that a further attempt could fetch: after the one that is out it is read again.
+void Router::Impl::on(const HeldReleased& e) {
+  const auto it = requests_.find(e.id);
+  if (it == requests_.end()) return;
+  Request& r = it->second;
+  r.holder = 0;
+  r.place = r.claimed = false;
+}
+
 // The state goes to the writer chosen at first, or, if that one has turned bad, to another. With none at
 // hand now it is let go at once rather than left pinned, and the request waits.
 void Router::Impl::hand_over(Request& r) {
--- a/src/router/impl.hpp
+++ b/src/router/impl.hpp
@@ -83,6 +83,7 @@
   // ---- held.cpp ----
   void plan(Request& r, bool on);
   void on(const PlaceAnswer& e);
+  void on(const HeldReleased& e);
   void hand_over(Request& r);
   void wait_again(Request& r);
   void let_go(Request& r);
--- a/src/router/patience.cpp
+++ b/src/router/patience.cpp
@@ -36,7 +36,9 @@
   const bool harmless = a.reader || r.cls.effect == Effect::safe;
   if (a.cancelled || !s_.limits.cancel || !harmless || retries_ < 1.0) return;
   if (r.stage != Stage::reading && r.stage != Stage::writing) return;
-  if (int(r.attempts.size()) + (a.reader ? 2 : 1) > s_.limits.max_attempts) return;
+  // Where what it was to fetch has been released, the prompt is read once more before another can answer.
+  const bool read_again = !a.reader && !a.local && r.holder == 0;
+  if (int(r.attempts.size()) + (a.reader || read_again ? 2 : 1) > s_.limits.max_attempts) return;
   const double waited = seconds(now_ - a.sent);
   // By the role's late pace or its middle one, whichever is longer, so that it rests when all are slow.
   const double usual = std::max(known_.paces[a.reader ? 1 : 0].value, known_.usual_pace(a.reader)) * a.ahead;
@@ -49,6 +51,7 @@
     const double unsure = 2.0 - std::exp(-seconds(now_ - e.pace.heard) / kPaceFade);
     other = std::min(other, known_.pace(e) * work * unsure);
   }
+  if (read_again) other += known_.usual_pace(true) * (kBaseWork + double(r.ask.prompt_tokens));
   if (waited < kPatience * std::max(usual, other)) return;
   actions_.emplace_back(Cancel{r.ask.id, int(r.attempts.size()) - 1});
   a.cancelled = true;
--- a/tests/core_rules_test.cpp
+++ b/tests/core_rules_test.cpp
@@ -86,8 +86,8 @@
     if (!may_write()) return;
     later(draw.time(1, 40), [this, done = std::move(done)] { done(ClaimAnswer(draw.pick(0, 2))); });
   }
-  void release(const Target& target, const PayloadPtr& payload, std::function<bool()> may_write,
-               std::function<void(bool)> done) override {
+  void release(const Target& target, const PayloadPtr& payload, ConnectionTerms,
+               std::function<bool()> may_write, std::function<void(bool)> done) override {
     later(draw.time(0, 60), [this, engine = target.engine, id = payload->id, may_write = std::move(may_write),
                              done = std::move(done)] {
       const bool arrives = draw.chance(0.8) && may_write();
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -98,12 +98,160 @@
   w.instances.ended(Verdict::state_held);
   w.time.settle();
   w.instances.written();
-  w.time.pass(3s + 20ms);
+  w.time.pass(260ms);  // the release time is up, and nobody knows whether the attempt has arrived
+  REQUIRE(std::ranges::count(w.instances.log, "release r") == 1);
+  w.instances.releases.at(0)(true);
+  w.time.pass(2730ms);
+  REQUIRE(std::ranges::count(w.instances.log, "release r") == 1);
+  REQUIRE(std::ranges::count(w.instances.log, "release w") == 0);
+  w.time.pass(30ms);
   CHECK(w.answers == Log{"failed"});
-  CHECK(std::ranges::count(w.instances.log, "release r") == 1);
+  CHECK(std::ranges::count(w.instances.log, "release r") == 2);
   CHECK(std::ranges::count(w.instances.log, "release w") == 1);
 }
 
+// A read whose connection broke after its last byte: it may have ended well, so a release is on its way.
+void break_off_a_read(World& w) {
+  w.list("r", 0);
+  w.list("w", 1);
+  w.ask(0, kLongRead);
+  w.instances.written();
+  w.instances.ended(Verdict::broken, Progress::written);
+}
+
+// Reads at r, so that a cache is held there, and writes the decode attempt; returns with nothing heard of it.
+void hand_over_unheard(World& w, std::uint32_t request_class) {
+  w.list("r", 0);
+  w.list("w", 1);
+  w.list("v", 1);
+  w.ask(request_class, 3000);
+  w.instances.written();
+  w.instances.ended(Verdict::state_held);
+  w.time.settle();
+  REQUIRE(w.instances.out != nullptr);
+  w.instances.written();
+}
+
+TEST_CASE("Core: a write into a local socket does not stop the clock of what is held") {
+  const std::uint32_t request_class = GENERATE(0U, 1U);
+  World w;
+  hand_over_unheard(w, request_class);
+  w.time.pass(249ms);
+  CHECK(w.instances.releases.empty());
+  w.time.pass(1ms);
+  CHECK(std::ranges::count(w.instances.log, "release r") == 1);
+  CHECK(w.instances.out != nullptr);  // it may have arrived all the same, and be served
+  CHECK(w.conductor->figures().held_overdue == 1);
+  w.instances.out->events.on_data("x");
+  w.instances.ended(Verdict::served);
+  w.time.settle();
+  CHECK(w.answers == Log{"begin", "x", "end"});
+}
+
+TEST_CASE("Core: a reset says of an attempt no more than its write, and the clock goes on beside the next") {
+  World w;
+  hand_over_unheard(w, 0);
+  w.time.pass(100ms);
+  w.instances.ended(Verdict::broken, Progress::written);
+  w.time.pass(20ms);
+  REQUIRE(w.instances.out != nullptr);
+  w.instances.written();
+  w.time.pass(129ms);
+  CHECK(w.instances.releases.empty());
+  w.time.pass(1ms);
+  CHECK(std::ranges::count(w.instances.log, "release r") == 1);
+}
+
+TEST_CASE("Core: an answer proves that an attempt had arrived, and the clock begins anew at its end") {
+  World w;
+  hand_over_unheard(w, 0);
+  w.time.pass(100ms);
+  w.instances.ended(Verdict::turned_away);
+  w.time.settle();
+  REQUIRE(w.instances.out != nullptr);
+  w.instances.written();
+  w.time.pass(249ms);
+  CHECK(w.instances.releases.empty());
+  w.time.pass(1ms);
+  CHECK(std::ranges::count(w.instances.log, "release r") == 1);
+}
+
+TEST_CASE("Core: an attempt whose answer has begun keeps what it waits for") {
+  World w;
+  hand_over_unheard(w, 0);
+  w.instances.out->at = Progress::head;
+  w.time.pass(1s);
+  CHECK(w.instances.releases.empty());
+}
+
+TEST_CASE(
+    "Core: an attempt that still dials as its cache is released is not written, and is read for again") {
+  World w;
+  w.list("r", 0);
+  w.list("w", 1);
+  w.list("v", 1);
+  w.ask(0, 3000);
+  w.instances.written();
+  w.instances.ended(Verdict::state_held);
+  w.time.settle();
+  REQUIRE(w.instances.out->name != "r");
+  w.time.pass(249ms);
+  REQUIRE(w.instances.out->name != "r");
+  w.time.pass(20ms);
+  REQUIRE(w.instances.out != nullptr);
+  CHECK(w.instances.out->name == "r");
+  CHECK(std::ranges::count(w.instances.log, "release r") >= 1);
+}
+
+TEST_CASE("Core: an attempt called off after its cache was released is read for again, not handed on") {
+  World w;
+  hand_over_unheard(w, 0);
+  const std::string first = w.instances.out->name;
+  w.time.pass(260ms);
+  w.instances.releases.at(0)(true);
+  w.instances.ended(Verdict::broken, Progress::written);
+  w.time.pass(20ms);
+  REQUIRE(w.instances.out != nullptr);
+  CHECK(w.instances.out->name == "r");
+}
+
+TEST_CASE("Core: a place is released in time while nothing shows that its prefill has arrived") {
+  World w;
+  w.list("r", 0);
+  w.list("w", 1);
+  w.ask(0, kLongRead);
+  w.instances.written();
+  REQUIRE(w.instances.claims.size() == 1);
+  SECTION("no answer, or one that knows of no read") {
+    if (GENERATE(false, true)) w.instances.claims.at(0)(ClaimAnswer::unknown);
+    w.time.pass(250ms);
+    CHECK(std::ranges::count(w.instances.log, "release w") == 1);
+    CHECK(std::ranges::count(w.instances.log, "release r") == 0);  // nothing is held there yet
+  }
+  SECTION("a place that is answered for shows that the read is under way") {
+    w.instances.claims.at(0)(ClaimAnswer::held);
+    w.time.pass(400ms);
+    CHECK(w.instances.releases.empty());
+  }
+}
+
+TEST_CASE(
+    "Core: a release of an earlier prefill goes elsewhere in time beside a further one that is unheard") {
+  World w;
+  w.list("v", 1);
+  break_off_a_read(w);
+  w.time.settle();
+  REQUIRE(w.instances.out != nullptr);
+  w.instances.written();
+  std::exchange(w.instances.releases, {});  // nothing is heard of the release either
+  w.instances.log.clear();
+  w.time.pass(300ms);
+  for (const char* release : {"release r", "release w", "release v"}) {
+    INFO(release);
+    CHECK(std::ranges::count(w.instances.log, release) >= 1);
+  }
+}
+
 // Taken for a read that ended well, it was handed on: an ajuste that may have run went out again.
 TEST_CASE("Core: a writer that answers like a reader has failed, and an ajuste goes nowhere else") {
   World w;
@@ -131,19 +279,21 @@
   REQUIRE(std::ranges::count(w.instances.log, "release r") == 1);
   w.instances.log.clear();
   std::exchange(w.instances.releases, {});  // neither arrives nor fails: the box is cut off
-  w.time.pass(70ms);
-  REQUIRE(w.instances.log.size() == 1);
+  w.time.pass(50ms);
+  REQUIRE(w.instances.log.size() == 2);
   const std::string first = w.instances.log[0];
   CHECK((first == "release v" || first == "release w"));
+  CHECK(w.instances.log[1] == "release r");  // once more on a new connection: its idle ones may be silent
+  CHECK(w.instances.fresh == std::vector<bool>{false, true, true});
   CHECK(w.conductor->releasing());
   w.instances.releases.at(0)(false);
-  w.time.pass(70ms);
-  REQUIRE(w.instances.log.size() == 2);
-  CHECK(w.instances.log[1] == (first == "release v" ? "release w" : "release v"));
-  w.instances.releases.at(1)(true);
+  w.time.pass(50ms);
+  REQUIRE(w.instances.log.size() == 3);
+  CHECK(w.instances.log[2] == (first == "release v" ? "release w" : "release v"));
+  w.instances.releases.at(2)(true);
   CHECK_FALSE(w.conductor->releasing());
   w.time.pass(1s);
-  CHECK(w.instances.log.size() == 2);
+  CHECK(w.instances.log.size() == 3);
 }
 
 TEST_CASE("Core: what comes after the rest has been given up is refused at once, and sent nowhere") {
@@ -264,15 +414,6 @@
   CHECK(std::ranges::count(w.instances.log, "release r") == 2);
 }
 
-// A read whose connection broke after its last byte: it may have ended well, so a release is on its way.
-void break_off_a_read(World& w) {
-  w.list("r", 0);
-  w.list("w", 1);
-  w.ask(0, kLongRead);
-  w.instances.written();
-  w.instances.ended(Verdict::broken, Progress::written);
-}
-
 // A send that has not arrived is not out: what is held has its 300 ms while the next read dials.
 TEST_CASE("Core: a release is tried on while the next read there dials, up to its first byte") {
   World w;
--- a/tests/core_world.hpp
+++ b/tests/core_world.hpp
@@ -46,9 +46,10 @@
     claims.push_back(std::move(done));
     may_claim = std::move(may_write);
   }
-  void release(const Target& target, const PayloadPtr&, std::function<bool()> may_write,
-               std::function<void(bool)> done) override {
+  void release(const Target& target, const PayloadPtr&, ConnectionTerms terms,
+               std::function<bool()> may_write, std::function<void(bool)> done) override {
     log.push_back("release " + target.id);
+    fresh.push_back(terms.fresh);
     may_release.push_back(std::move(may_write));
     releases.push_back(std::move(done));
   }
@@ -77,6 +78,7 @@
   std::function<bool()> may_claim;
   std::vector<std::function<bool()>> may_release;  // by call, as are `releases`
   std::vector<std::function<void(bool)>> releases;
+  std::vector<bool> fresh;  // whether that call asked for a new connection
 };
 
 class FakeReply : public ClientReply {
@@ -128,6 +130,7 @@
     s.module.rules.drain_grace = 1s;
     s.module.rules.cold_time = 10s;
     s.module.rules.fall_time = 2s;
+    s.module.rules.release_within = 300ms;
     s.module.claim_ahead = true;
     s.module.writers_read = true;
     s.module.resume = true;
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -180,7 +180,7 @@
   }
   void claim(const core::Target&, const core::PayloadPtr&, std::function<bool()>,
              std::function<void(core::ClaimAnswer)>) override {}
-  void release(const core::Target&, const core::PayloadPtr&, std::function<bool()>,
+  void release(const core::Target&, const core::PayloadPtr&, core::ConnectionTerms, std::function<bool()>,
                std::function<void(bool)>) override {}
   void probe(const core::Target&, std::function<bool()>,
              std::function<void(const core::AttemptResult&)>) override {}
--- a/tests/rule_checker.hpp
+++ b/tests/rule_checker.hpp
@@ -131,6 +131,9 @@
     if (e.outcome == Outcome::state_held) r.holds = true;
     if (e.request_over) ended(r);
   }
+  void see(const HeldReleased& e) {
+    if (const auto it = requests_.find(e.id); it != requests_.end()) it->second.holds = false;
+  }
   void see(const PlaceAnswer& e) {
     if (e.held) requests_.at(e.id).holds = true;
   }
