--- a/tests/faults/relay.hpp
+++ b/tests/faults/relay.hpp
@@ -29,6 +29,9 @@
   void silence_open();
   // All connections open now are reset.
   void reset_open();
+  // As when a machine is back: all that is open or waits in the kernel's queue is reset, new ones are
+  // carried.
+  void heal();
   [[nodiscard]] std::size_t open() const;
 
  private:
@@ -39,6 +42,7 @@
   };
   void run();
   void accept_one();
+  void reset_pairs();
   // Carries what one side has sent; false once the pair is over.
   static bool carry(int from, int to, bool& open);
   static void reset(Pair& pair);
--- a/tests/stories/peers.hpp
+++ b/tests/stories/peers.hpp
@@ -39,6 +39,8 @@
   Message receive_head();
   std::string receive_until(const std::string& end);
   std::string receive_all();
+  // So many bytes, or what came before the close.
+  std::string receive_bytes(std::size_t count);
   // Whether the other side closes within the time.
   [[nodiscard]] bool closed_within(int ms) const;
   // Whether the other side resets the connection within the time, as one does that closes it with bytes
