Repeat the release of a prefill that was cut off while it may go on

Same class: a close written into a local socket taken for heard. Cause: account_for_held_caches released such a prefill once (request_lifecycle.cpp, release_at). Change: the release is repeated every 0.4 s for as long as the request's time, 3 s at most, never beside an attempt of which nothing has been heard; the process's end does not wait for repeats.

--- a/src/core/held_caches.cpp
+++ b/src/core/held_caches.cpp
@@ -13,6 +13,8 @@
 // What is held has 300 ms beyond the release time until a release has arrived. A loop that is held up may use
 // 150 ms of it twice, as the prefill's answer comes and as the timer strikes; delivery needs the rest.
 constexpr Duration kBeforeReleaseTime = 50ms;
+// How long a prefill that was cut off is taken to go on, where it has not heard of that.
+constexpr Duration kLongestPrefill = 3s;
 
 }  // namespace
 
@@ -23,7 +25,7 @@
       hooks_(std::move(hooks)),
       delivery_(
           {settings.zone, settings.max_releases}, fleet, scheduler, instances,
-          [this](RequestId id) { return hooks_.attempt_state(id) != AttemptState::none; }, hooks_.log) {}
+          [this](RequestId id) { return hooks_.attempt_state(id) == AttemptState::unproven; }, hooks_.log) {}
 
 HeldCaches::Held& HeldCaches::record(RequestId id, const PayloadPtr& payload) {
   Held& held = held_[id];
@@ -87,7 +89,8 @@
   // One that has arrived stops the clock, and its end begins it anew.
   if (hooks_.attempt_state(id) == AttemptState::heard) return;
   // All stays on record: an attempt that has arrived unheard of keeps what it waits for, past this release.
-  for (const EngineId engine : held.at) delivery_.start({id, held.payload, engine, scheduler_.now()});
+  for (const EngineId engine : held.at)
+    delivery_.start({id, held.payload, engine, scheduler_.now(), Time{0}});
   hooks_.overdue(id, held_for);
 }
 
@@ -99,14 +102,21 @@
   Held& held = at->second;
   const Time due = held.since.value_or(scheduler_.now()) + allowed();
   if (const auto made_at = std::exchange(held.prefilling_at, std::nullopt)) held.at.insert(*made_at);
-  for (const EngineId engine : std::exchange(held.at, {})) delivery_.start({id, held.payload, engine, due});
+  for (const EngineId engine : std::exchange(held.at, {}))
+    delivery_.start({id, held.payload, engine, due, Time{0}});
   held.let_go = true;
   stop_clock(id);
   if (held.reservations_out == 0) held_.erase(at);
 }
 
 void HeldCaches::release_at(RequestId id, const PayloadPtr& payload, EngineId engine) {
-  delivery_.start({id, payload, engine, scheduler_.now() + allowed()});
+  delivery_.start({id, payload, engine, scheduler_.now() + allowed(), Time{0}});
+}
+
+void HeldCaches::release_cut_off_prefill(RequestId id, const PayloadPtr& payload, EngineId engine,
+                                         Time until) {
+  const Time last = std::min(until, scheduler_.now() + kLongestPrefill);
+  delivery_.start({id, payload, engine, scheduler_.now() + allowed(), last});
 }
 
 bool HeldCaches::withdraw_releases(RequestId id, const PayloadPtr& payload, EngineId engine) {
--- a/src/core/held_caches.hpp
+++ b/src/core/held_caches.hpp
@@ -58,6 +58,10 @@
   void release_all(RequestId id);
   // Releases what may be held for the request at one instance.
   void release_at(RequestId id, const PayloadPtr& payload, EngineId engine);
+  // The same for a prefill whose connection was closed here. It may have ended well just then; or, on a
+  // silent connection, not have heard of that, and hold its cache later, up to `until`, when its time is
+  // over.
+  void release_cut_off_prefill(RequestId id, const PayloadPtr& payload, EngineId engine, Time until);
   // Drops the releases still tried there: they would release what a new attempt is about to make. True where
   // there was one: the attempt has to account for what was held, whose clock goes on.
   bool withdraw_releases(RequestId id, const PayloadPtr& payload, EngineId engine);
--- a/src/core/release_delivery.cpp
+++ b/src/core/release_delivery.cpp
@@ -14,6 +14,8 @@
 // How long a call may be on its way before others are made too: some round trips between zones. Of the 300 ms
 // beyond the release time a loop that is held up may use half, and the rest has to hold several rounds.
 constexpr Duration kElsewhereAfter = 40ms;
+// Between repeats: what a prefill comes to hold just after one has to be released by the next.
+constexpr Duration kRepeatEvery = 400ms;
 constexpr std::size_t kMostOthers = 6;     // that are asked; one of them can be reached, or none
 constexpr Duration kTriedFor = 60s;        // what an instance still holds by then it has released by itself
 constexpr int kMostCallsAtInstance = 16;   // at the same time
@@ -24,12 +26,12 @@
 }  // namespace
 
 ReleaseDelivery::ReleaseDelivery(Settings settings, Fleet& fleet, Scheduler& scheduler, Instances& instances,
-                                 AttemptOut attempt_out, LogFunction log)
+                                 AttemptUnproven attempt_unproven, LogFunction log)
     : settings_(settings),
       fleet_(fleet),
       scheduler_(scheduler),
       instances_(instances),
-      attempt_out_(std::move(attempt_out)),
+      attempt_unproven_(std::move(attempt_unproven)),
       log_(std::move(log)) {}
 
 void ReleaseDelivery::start(const Order& order) {
@@ -57,6 +59,9 @@
     due = std::min(due.value_or(order.due), order.due);
     return true;
   });
+  std::erase_if(repeats_, [&](const auto& entry) {
+    return entry.second.order.payload == payload && entry.second.order.engine == engine;
+  });
   return due;
 }
 
@@ -93,8 +98,7 @@
 }
 
 void ReleaseDelivery::try_holder_later(Release& release, Number number) {
-  release.again =
-      scheduler_.at(scheduler_.now() + kRetryAfter, [this, number] { try_holder(number, true); });
+  release.again = scheduler_.at(scheduler_.now() + kRetryAfter, [this, number] { try_holder(number, true); });
 }
 
 void ReleaseDelivery::try_holder(Number number, bool new_connection) {
@@ -121,7 +125,9 @@
   if (arrived) {
     fleet_.note_heard(release.order.engine, scheduler_.now());
     ++figures_.answered;
+    const Order order = release.order;
     releases_.erase(at);
+    repeat_later(order);
     return;
   }
   ++figures_.tries_failed;
@@ -129,6 +135,24 @@
   if (!std::exchange(release.failed, true)) look_elsewhere(number);
 }
 
+void ReleaseDelivery::repeat_later(const Order& order) {
+  const Time next = scheduler_.now() + kRepeatEvery;
+  if (next > order.repeat_until || repeats_.size() >= settings_.max_releases) return;
+  const Number number = ++last_number_;
+  repeats_[number] = {order, scheduler_.at(next, [this, number] { repeat(number); })};
+}
+
+// Not beside an attempt that may be making or fetching a cache anew: its own clock is the request's then.
+void ReleaseDelivery::repeat(Number number) {
+  const auto at = repeats_.find(number);
+  if (at == repeats_.end()) return;
+  Order order = at->second.order;
+  repeats_.erase(at);
+  if (attempt_unproven_(order.id)) return repeat_later(order);
+  order.due = scheduler_.now();
+  start(order);
+}
+
 void ReleaseDelivery::look_elsewhere_later(Release& release, Number number) {
   release.elsewhere =
       scheduler_.at(scheduler_.now() + kElsewhereAfter, [this, number] { look_elsewhere(number); });
@@ -144,7 +168,7 @@
   if (holder == nullptr || holder->entry.state == eiderarch::EngineState::gone) return;
   // An attempt that arrives stops the clock, and it may be making a cache anew. One that has only been
   // written may never arrive: when the time is up it counts for nothing.
-  if (attempt_out_(release.order.id) && scheduler_.now() < release.order.due) {
+  if (attempt_unproven_(release.order.id) && scheduler_.now() < release.order.due) {
     return look_elsewhere_later(release, number);
   }
   const std::vector<const Fleet::Member*> others = next_others(release);
@@ -181,7 +205,7 @@
     const auto now = releases_.find(number);
     if (now == releases_.end()) return false;
     const Order& order = now->second.order;
-    if (attempt_out_(order.id) && scheduler_.now() < order.due) now->second.also_at.erase(engine);
+    if (attempt_unproven_(order.id) && scheduler_.now() < order.due) now->second.also_at.erase(engine);
     return now->second.also_at.contains(engine);
   };
   instances_.release(other.target, release.order.payload, {.trouble_harmless = true, .fresh = true},
--- a/src/core/release_delivery.hpp
+++ b/src/core/release_delivery.hpp
@@ -39,13 +39,16 @@
     PayloadPtr payload;
     EngineId engine = 0;
     Time due{0};
+    // Until then something may still come to be held there: a prefill whose connection was closed here, and
+    // that may not have heard of it. The release is repeated until then.
+    Time repeat_until{0};
   };
-  // Whether an attempt of that request is out.
-  using AttemptOut = std::function<bool(RequestId)>;
+  // Whether an attempt of that request is out of which nothing has been heard.
+  using AttemptUnproven = std::function<bool(RequestId)>;
   using LogFunction = std::function<void(const char* topic, const std::string& text)>;
 
   ReleaseDelivery(Settings settings, Fleet& fleet, Scheduler& scheduler, Instances& instances,
-                  AttemptOut attempt_out, LogFunction log);
+                  AttemptUnproven attempt_unproven, LogFunction log);
 
   void start(const Order& order);
   // Drops the releases still tried there: they would release what a new attempt is about to make. Returns the
@@ -53,7 +56,7 @@
   std::optional<Time> withdraw(const PayloadPtr& payload, EngineId engine);
   // Something that has arrived has restarted the request's clock: its releases are not due before then.
   void postpone(RequestId id, Time due);
-  // Whether a release has not arrived yet, at any instance.
+  // Whether a release has not arrived yet, at any instance. One that is only to be repeated has.
   [[nodiscard]] bool pending() const;
   [[nodiscard]] const ReleaseFigures& figures() const { return figures_; }
 
@@ -69,6 +72,10 @@
     std::set<EngineId> also_at;  // others that were asked to
     std::unique_ptr<Timer> again, elsewhere;
   };
+  struct Repeat {
+    Order order;
+    std::unique_ptr<Timer> at;
+  };
   using Number = std::uint64_t;
 
   // Whether the instance that the release is for can hold nothing of it any more, or its time is up.
@@ -77,6 +84,8 @@
   void abandon(std::map<Number, Release>::iterator at);
   void try_holder(Number number, bool new_connection);
   void holder_answered(Number number, bool arrived);
+  void repeat_later(const Order& order);
+  void repeat(Number number);
   void try_holder_later(Release& release, Number number);
   void look_elsewhere(Number number);
   void look_elsewhere_later(Release& release, Number number);
@@ -89,9 +98,10 @@
   Fleet& fleet_;
   Scheduler& scheduler_;
   Instances& instances_;
-  AttemptOut attempt_out_;
+  AttemptUnproven attempt_unproven_;
   LogFunction log_;
   std::map<Number, Release> releases_;
+  std::map<Number, Repeat> repeats_;
   Number last_number_ = 0;
   ReleaseFigures figures_;
 };
--- a/src/core/request_lifecycle.cpp
+++ b/src/core/request_lifecycle.cpp
@@ -222,8 +222,12 @@
   if (attempt.prefill) {
     if (end.outcome == Outcome::state_held) return held_.restart_clock(r.id);
     held_.holds_nothing(r.id, engine);
-    // A prefill that was cut off may have ended well just then: its cache would stay pinned there.
-    if (!never_ran || owes_release) held_.release_at(r.id, r.ask.payload, engine);
+    const bool may_go_on = !never_ran && !end.answered && !end.ended_there;
+    if (may_go_on) {
+      held_.release_cut_off_prefill(r.id, r.ask.payload, engine, r.ask.facts.deadline);
+    } else if (!never_ran || owes_release) {
+      held_.release_at(r.id, r.ask.payload, engine);
+    }
     return;
   }
   if (never_ran && owes_release) {
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -252,6 +252,52 @@
   }
 }
 
+// Its connection had fallen silent: the prefill went on, ended well after its release, and stayed pinned.
+TEST_CASE("Core: the release of a prefill that was cut off is repeated for as long as that may go on") {
+  World w;
+  w.list("r", 0);
+  w.list("w", 1);
+  const RequestId id = w.ask(0, 3000, 1900ms);
+  w.instances.written();
+  w.conductor->client_gone(id);
+  w.time.settle();
+  REQUIRE(std::ranges::count(w.instances.log, "release r") == 1);
+  const auto answer = [&w] {
+    for (const auto& done : std::exchange(w.instances.releases, {})) done(true);
+  };
+  answer();
+  CHECK_FALSE(w.conductor->releasing());  // the end of this process does not wait for the repeats
+  for (int repeats = 1; repeats <= 4; ++repeats) {
+    w.time.pass(400ms);
+    CHECK(std::ranges::count(w.instances.log, "release r") == 1 + repeats);
+    answer();
+  }
+  w.time.pass(2s);  // the server knows that its time is over
+  CHECK(std::ranges::count(w.instances.log, "release r") == 5);
+}
+
+TEST_CASE("Core: a release is not repeated beside a further attempt of which nothing has been heard") {
+  FakeTime time;
+  FakeInstances instances;
+  Fleet fleet;
+  Listed row;
+  row.id = row.address = "r";
+  row.entry.engine = 9;
+  (void)fleet.update(time.now(), {eiderarch::ListScope::changes, {row}});
+  bool unproven = false;
+  ReleaseDelivery delivery(
+      {}, fleet, time, instances, [&unproven](RequestId) { return unproven; },
+      [](const char*, const std::string&) {});
+  delivery.start({1, nullptr, 9, time.now(), time.now() + 3s});
+  instances.releases.at(0)(true);
+  unproven = true;
+  time.pass(1s);
+  CHECK(instances.releases.size() == 1);
+  unproven = false;
+  time.pass(220ms);
+  CHECK(instances.releases.size() == 2);
+}
+
 // Taken for a read that ended well, it was handed on: an ajuste that may have run went out again.
 TEST_CASE("Core: a writer that answers like a reader has failed, and an ajuste goes nowhere else") {
   World w;
--- a/tests/faults/soak.cpp
+++ b/tests/faults/soak.cpp
@@ -68,17 +68,20 @@
     const std::lock_guard lock(mutex_);
     if (process() != nullptr) process()->send_signal(number);
   }
+  // Stops it for a moment. Its end waits for that: a process that the rules let stand still is not killed so.
+  void hold_up(double seconds) {
+    const std::lock_guard lock(mutex_);
+    if (process() == nullptr) return;
+    process()->send_signal(SIGSTOP);
+    sleep_for(seconds);
+    process()->send_signal(SIGCONT);
+  }
   // Waits for the end of the process, and kills it at the earliest time that the rules allow after `told`.
   // Returns what is wrong with the end; empty where nothing is.
   std::string end(double told) {
+    while (seconds_now() < told + kKillAfter && !has_ended()) sleep_for(0.005);
     const std::lock_guard lock(mutex_);
     Program& program = *process();
-    while (seconds_now() < told + kKillAfter) {
-      siginfo_t info{};
-      if (waitid(P_PID, id_t(program.pid()), &info, WEXITED | WNOHANG | WNOWAIT) == 0 && info.si_pid != 0)
-        break;
-      sleep_for(0.005);
-    }
     program.send_signal(SIGKILL);
     const int code = program.wait();
     logs_ += program.output();
@@ -101,6 +104,12 @@
   [[nodiscard]] std::string logs() const { return logs_; }
 
  private:
+  bool has_ended() {
+    const std::lock_guard lock(mutex_);
+    siginfo_t info{};
+    const int options = WEXITED | WNOHANG | WNOWAIT;
+    return waitid(P_PID, id_t(process()->pid()), &info, options) == 0 && info.si_pid != 0;
+  }
   Program* process() {
     if (over_) return nullptr;
     return later_ ? later_.get() : &platform_.program();
@@ -297,9 +306,7 @@
     Conductor& conductor = *conductors_[std::size_t(draw_int(random_, 0, settings_.conductors - 1))];
     const double time = draw(random_, 0.02, kMostHeldUp);
     note("hold up for " + std::to_string(time));
-    conductor.send_signal(SIGSTOP);
-    sleep_for(time);
-    conductor.send_signal(SIGCONT);
+    conductor.hold_up(time);
   }
   // Signals in series, the kill as early as it may come, and a new process.
   void restart(Conductor& conductor, int number, double at, unsigned seed) {
