Draw silent connections and unheard closes in the core's drawn sites; repeat releases faster

The drawn sites took a written attempt for an arrived one, as the code did. They draw attempts that are swallowed, releases that hang on an idle connection, and prefills that go on after a close that nobody heard. A further attempt at the same instance no longer ends the repeats: it may be swallowed.

--- a/src/core/held_caches.cpp
+++ b/src/core/held_caches.cpp
@@ -15,6 +15,7 @@
 constexpr Duration kBeforeReleaseTime = 50ms;
 // How long a prefill that was cut off is taken to go on, where it has not heard of that.
 constexpr Duration kLongestPrefill = 3s;
+constexpr Duration kPastItsTime = 1s;  // past the time that its server was told
 
 }  // namespace
 
@@ -115,7 +116,7 @@
 
 void HeldCaches::release_cut_off_prefill(RequestId id, const PayloadPtr& payload, EngineId engine,
                                          Time until) {
-  const Time last = std::min(until, scheduler_.now() + kLongestPrefill);
+  const Time last = std::min(until + kPastItsTime, scheduler_.now() + kLongestPrefill);
   delivery_.start({id, payload, engine, scheduler_.now() + allowed(), last});
 }
 
--- a/src/core/release_delivery.cpp
+++ b/src/core/release_delivery.cpp
@@ -15,7 +15,7 @@
 // beyond the release time a loop that is held up may use half, and the rest has to hold several rounds.
 constexpr Duration kElsewhereAfter = 40ms;
 // Between repeats: what a prefill comes to hold just after one has to be released by the next.
-constexpr Duration kRepeatEvery = 400ms;
+constexpr Duration kRepeatEvery = 250ms;
 constexpr std::size_t kMostOthers = 6;     // that are asked; one of them can be reached, or none
 constexpr Duration kTriedFor = 60s;        // what an instance still holds by then it has released by itself
 constexpr int kMostCallsAtInstance = 16;   // at the same time
@@ -59,9 +59,6 @@
     due = std::min(due.value_or(order.due), order.due);
     return true;
   });
-  std::erase_if(repeats_, [&](const auto& entry) {
-    return entry.second.order.payload == payload && entry.second.order.engine == engine;
-  });
   return due;
 }
 
--- a/tests/core_rules_test.cpp
+++ b/tests/core_rules_test.cpp
@@ -16,10 +16,11 @@
 
 namespace {
 
-constexpr int kBoxes = 7;             // three readers, three writers, one of both kinds where there are any
-constexpr Duration kConnect = 250ms;  // after which a connection that is not up counts as failed
-constexpr Duration kSlack = 50ms;     // of every limit in time, as on sockets
-constexpr Duration kArrival = 300ms;  // more for a release, as on sockets
+constexpr int kBoxes = 7;              // three readers, three writers, one of both kinds where there are any
+constexpr Duration kConnect = 250ms;   // after which a connection that is not up counts as failed
+constexpr Duration kCallTimeout = 1s;  // after which a call that was not answered counts as failed
+constexpr Duration kSlack = 50ms;      // of every limit in time, as on sockets
+constexpr Duration kArrival = 300ms;   // more for a release, as on sockets
 
 struct Faults : std::vector<std::string> {
   void add(const std::string& request, const std::string& what) { push_back(request + ": " + what); }
@@ -58,6 +59,7 @@
     AttemptEvents& events;
     Progress so_far = Progress::not_connected;
     bool arrived = false;
+    bool ended = false;  // by the box
     std::unique_ptr<Timer> next;
     Out(Site& owner, EngineId engine, std::string id, std::function<bool()> may, AttemptEvents& told)
         : site(owner), at(engine), name(std::move(id)), may_write(std::move(may)), events(told) {}
@@ -263,6 +265,8 @@
       ++story.may_run;
     }
     out.so_far = Progress::written;
+    // Into a connection that has fallen silent: its bytes are out here, and arrive nowhere.
+    if (draw.chance(0.06)) return out.events.on_written();
     ++story.there;
     out.arrived = true;
     out.next = time.at(time.now() + draw.time(1, 900), [this, &out] { answered(out); });
@@ -293,6 +297,7 @@
   }
   void end(Out& out, Verdict verdict, Progress progress) {
     out.so_far = progress;
+    out.ended = true;
     AttemptResult result;
     result.verdict = verdict;
     result.progress = progress;
@@ -307,6 +312,12 @@
     if (!out.arrived) return;
     --story.there;
     for (auto& [engine, since] : story.held) since = time.now();
+    // The close may not be heard either: then a prefill goes on to its end.
+    if (!reader(out.at) || out.ended || out.so_far != Progress::written || !draw.chance(0.2)) return;
+    later(draw.time(1, 900), [this, engine = out.at, name = out.name] {
+      Story& late = stories[name];
+      if (!gone_.contains(engine) && !late.streaming) late.held[engine] = time.now();
+    });
   }
   [[nodiscard]] bool keyed(const Out&) const {
     return std::ranges::any_of(s.classes, [](const auto& c) { return c.effect == eiderarch::Effect::keyed; });
--- a/tests/faults/relay.cpp
+++ b/tests/faults/relay.cpp
@@ -61,6 +61,15 @@
   for (Pair& pair : pairs_) pair.silent = true;
 }
 
+void Relay::silence_every_second() {
+  const std::lock_guard lock(mutex_);
+  bool second = false;
+  for (Pair& pair : pairs_) {
+    pair.silent |= second;
+    second = !second;
+  }
+}
+
 void Relay::reset_open() {
   const std::lock_guard lock(mutex_);
   reset_pairs();
--- a/tests/faults/relay.hpp
+++ b/tests/faults/relay.hpp
@@ -27,6 +27,8 @@
   void set_dials(Dials dials) { dials_ = dials; }
   // All connections open now carry nothing from here on.
   void silence_open();
+  // The same for every second of them, so that connections to one server differ.
+  void silence_every_second();
   // All connections open now are reset.
   void reset_open();
   // As when a machine is back: all that is open or waits in the kernel's queue is reset, new ones are
