Leave a release the time of two hold-ups, and let a process's end wait for repeats in silence

By the sums: the loop may be held up for 0.15 s as the prefill's answer comes and again as the clock strikes; 50 ms before the release time that left no time to deliver. It is 100 ms now. The process's end waits for repeats only where an idle connection to the instance did not answer.

--- a/src/core/held_caches.cpp
+++ b/src/core/held_caches.cpp
@@ -12,7 +12,7 @@
 
 // What is held has 300 ms beyond the release time until a release has arrived. A loop that is held up may use
 // 150 ms of it twice, as the prefill's answer comes and as the timer strikes; delivery needs the rest.
-constexpr Duration kBeforeReleaseTime = 50ms;
+constexpr Duration kBeforeReleaseTime = 100ms;
 // How long a prefill that was cut off is taken to go on, where it has not heard of that.
 constexpr Duration kLongestPrefill = 3s;
 constexpr Duration kPastItsTime = 1s;  // past the time that its server was told
--- a/src/core/release_delivery.cpp
+++ b/src/core/release_delivery.cpp
@@ -69,7 +69,8 @@
 }
 
 bool ReleaseDelivery::pending() const {
-  return std::ranges::any_of(releases_, [](const auto& entry) { return !entry.second.taken; });
+  return std::ranges::any_of(releases_, [](const auto& entry) { return !entry.second.taken; }) ||
+         std::ranges::any_of(repeats_, [](const auto& entry) { return entry.second.silent; });
 }
 
 bool ReleaseDelivery::pointless(const Release& release, const Fleet::Member* holder) const {
@@ -123,8 +124,9 @@
     fleet_.note_heard(release.order.engine, scheduler_.now());
     ++figures_.answered;
     const Order order = release.order;
+    const bool silent = release.asked_afresh || release.failed;
     releases_.erase(at);
-    repeat_later(order);
+    repeat_later(order, silent);
     return;
   }
   ++figures_.tries_failed;
@@ -132,11 +134,12 @@
   if (!std::exchange(release.failed, true)) look_elsewhere(number);
 }
 
-void ReleaseDelivery::repeat_later(const Order& order) {
+void ReleaseDelivery::repeat_later(const Order& order, bool silent) {
+  // The last one comes past the end, so that what came to be held just before it is released, too.
+  if (scheduler_.now() > order.repeat_until || repeats_.size() >= settings_.max_releases) return;
   const Time next = scheduler_.now() + kRepeatEvery;
-  if (next > order.repeat_until || repeats_.size() >= settings_.max_releases) return;
   const Number number = ++last_number_;
-  repeats_[number] = {order, scheduler_.at(next, [this, number] { repeat(number); })};
+  repeats_[number] = {order, silent, scheduler_.at(next, [this, number] { repeat(number); })};
 }
 
 // Not beside an attempt that may be making or fetching a cache anew: its own clock is the request's then.
@@ -144,8 +147,9 @@
   const auto at = repeats_.find(number);
   if (at == repeats_.end()) return;
   Order order = at->second.order;
+  const bool silent = at->second.silent;
   repeats_.erase(at);
-  if (attempt_unproven_(order.id)) return repeat_later(order);
+  if (attempt_unproven_(order.id)) return repeat_later(order, silent);
   order.due = scheduler_.now();
   start(order);
 }
--- a/src/core/release_delivery.hpp
+++ b/src/core/release_delivery.hpp
@@ -56,7 +56,8 @@
   std::optional<Time> withdraw(const PayloadPtr& payload, EngineId engine);
   // Something that has arrived has restarted the request's clock: its releases are not due before then.
   void postpone(RequestId id, Time due);
-  // Whether a release has not arrived yet, at any instance. One that is only to be repeated has.
+  // Whether a release has not arrived yet, at any instance. One that is only to be repeated has, unless its
+  // instance's connections have shown to be silent, so that the end of its attempt was hardly heard.
   [[nodiscard]] bool pending() const;
   [[nodiscard]] const ReleaseFigures& figures() const { return figures_; }
 
@@ -74,6 +75,7 @@
   };
   struct Repeat {
     Order order;
+    bool silent = false;  // a call to the instance on an idle connection was not answered in time
     std::unique_ptr<Timer> at;
   };
   using Number = std::uint64_t;
@@ -84,7 +86,7 @@
   void abandon(std::map<Number, Release>::iterator at);
   void try_holder(Number number, bool new_connection);
   void holder_answered(Number number, bool arrived);
-  void repeat_later(const Order& order);
+  void repeat_later(const Order& order, bool silent);
   void repeat(Number number);
   void try_holder_later(Release& release, Number number);
   void look_elsewhere(Number number);
