--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -25,7 +25,7 @@
     for (auto& [id, member] : members_) {
       if (named.contains(id) || member.entry.state == EngineState::gone) continue;
       member.entry.state = EngineState::gone;
-      if (!member.told_off) member.told_off = now;
+      if (!member.draining_since) member.draining_since = now;
       lost.push_back(id);
     }
   }
@@ -48,9 +48,9 @@
     member.target = {row.entry.engine, row.id, row.address.empty() ? member.target.address : row.address};
     member.out = out_.contains(row.id);
     if (row.entry.state == EngineState::live) {
-      member.told_off.reset();
-    } else if (!member.told_off) {
-      member.told_off = now;
+      member.draining_since.reset();
+    } else if (!member.draining_since) {
+      member.draining_since = now;
     }
   }
   if (news.scope != ListScope::disk) last_word_ = now;
--- a/src/core/fleet.hpp
+++ b/src/core/fleet.hpp
@@ -16,10 +16,10 @@
   struct Member {
     Target target;
     eiderarch::EngineEntry entry;
-    std::optional<Time> told_off;  // since when it is known to drain or to be gone
-    bool out = false;              // for maintenance, by an operator's word
-    Time listed_start{0};          // `entry.started` as listed; the entry's is never later than when it came
-    Time last_heard{0};            // when it last answered anything here
+    std::optional<Time> draining_since;  // since when it is known to drain or to be gone
+    bool out = false;                    // for maintenance, by an operator's word
+    Time listed_start{0};  // `entry.started` as listed; the entry's is never later than when it came
+    Time last_heard{0};    // when it last answered anything here
   };
 
   // Takes news; returns the instances whose process is gone or new. Changes without an entry say that nothing
--- a/src/core/request_lifecycle.cpp
+++ b/src/core/request_lifecycle.cpp
@@ -356,7 +356,7 @@
   if (member == nullptr || member->out) return false;
   const Duration grace =
       std::max<Duration>(settings_.module.rules.drain_grace - kDrainMargin - settings_.news_late, 0us);
-  return !member->told_off || scheduler_.now() - *member->told_off < grace;
+  return !member->draining_since || scheduler_.now() - *member->draining_since < grace;
 }
 
 void Conductor::reserve(Request& r, EngineId writer) {
