Wait for a member's store file instead of looking once as it listens

Traced by reading: the listeners open first (src/app/serve.cpp, line 203), the store's file on its own thread later (sqlite_store.cpp, line 160), and the test looked once. It waits for the file now, and looks for the absence in the other two processes after that, when they would have theirs: stricter than before.

--- a/tests/fleet/ownership_stories.cpp
+++ b/tests/fleet/ownership_stories.cpp
@@ -24,6 +24,17 @@
   return all;
 }
 
+// The store opens its file on a thread of its own, some time after its process listens.
+bool comes_to_open(pid_t pid, const std::string& name) {
+  constexpr auto kPatience = std::chrono::seconds(10);
+  const auto until = std::chrono::steady_clock::now() + kPatience;
+  while (std::chrono::steady_clock::now() < until) {
+    if (open_files(pid).find(name) != std::string::npos) return true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  return false;
+}
+
 void no_faults(const Fleet& fleet) {
   for (const std::string& fault : fleet.faults()) FAIL_CHECK(fault);
 }
@@ -175,12 +186,13 @@
 
 TEST_CASE("Fleet: on the platform, and without 'coordination', there is no store and no byte of it") {
   stories::Platform platform({{"a", "mixto", "127.0.0.1:1"}});
-  CHECK(open_files(platform.program().pid()).find("fleet") == std::string::npos);
   stories::Record seen;
   stories::Peer box(stories::box(seen, [](stories::Wire&, const stories::Message&) { return true; }));
   stories::Appliance alone({box.address()});
-  CHECK(open_files(alone.program().pid()).find("fleet") == std::string::npos);
   CHECK(alone.page("GET", "/-/duties").starts_with("HTTP/1.1 404"));
   Fleet fleet(1);
-  CHECK(open_files(fleet.member(0).program().pid()).find("bankmux-fleet.db") != std::string::npos);
+  CHECK(comes_to_open(fleet.member(0).program().pid(), "bankmux-fleet.db"));
+  // By then those that were started before it would have theirs open, too.
+  CHECK(open_files(platform.program().pid()).find("fleet") == std::string::npos);
+  CHECK(open_files(alone.program().pid()).find("fleet") == std::string::npos);
 }
