--- a/review/common/stand_in.hpp
+++ b/review/common/stand_in.hpp
@@ -225,6 +225,12 @@
     return ended_;
   }
 
+  // Lets the end of this object reset the connection, as the death of its process would.
+  void reset_on_close() const {
+    const linger reset{1, 0};
+    setsockopt(fd_, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+  }
+
   [[nodiscard]] bool ended() const { return ended_; }
   [[nodiscard]] bool reset() const { return reset_; }
 
