Refuse requests that come too late in a shutdown to be answered before SIGKILL

Requests whose last byte came 1.0 to 1.6 s after SIGTERM were sent to an instance, their clients got 200 and events, and SIGKILL, 3.8 s after SIGTERM, cut all four streams off.

Cause: Conductor::accept (src/core/conductor.cpp, before: lines 44 to 49) refused only after `abandon`, 3.4 s after SIGTERM, a bound for answers that have not begun; ProcessLifecycle::begin_shutdown (src/app/wind_down.cpp) set no other time.

Other conductors serve at once, so the refusal advises no wait.

Why it works: whatever is accepted arrived before it was read, so within 0.7 s of SIGTERM; what came later is answered within the turn of the loop that reads it.

--- a/src/app/request_log.cpp
+++ b/src/app/request_log.cpp
@@ -63,6 +63,8 @@
       return "given up";
     case Cause::table_full:
       return "table full";
+    case Cause::shutdown:
+      return "shutting down";
     case Cause::no_decision:
       return "no decision in time";
     case Cause::failed:
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -39,6 +39,9 @@
 constexpr core::Duration kMaxDeadline = 3s;
 // After the longest deadline; leaves 300 ms of the 0.7 s for the last answers and releases.
 constexpr core::Duration kAbandonMargin = 400ms;
+// A request that arrives later than this after SIGTERM must not still be unanswered at SIGKILL.
+constexpr core::Duration kLateArrival = 700ms;
+constexpr core::Duration kMaxHoldUp = 150ms;      // how much later than it was sent SIGTERM may be handled
 constexpr core::Duration kFirstListTimeout = 2s;  // of a process that takes over, for discovery's first list
 constexpr std::size_t kMaxTenants = 100'000;      // tracked at once; about 20 MB if all are in use
 constexpr std::size_t kReservedSockets = 64;      // for the loop, log, discovery, listeners and a reserve
@@ -193,7 +196,8 @@
   core::Duration longest_deadline{0};
   for (const eiderarch::RequestClass& c : config.module.classes)
     longest_deadline = std::max(longest_deadline, c.deadline);
-  lifecycle.set_abandon_after(std::min(longest_deadline, kMaxDeadline) + kAbandonMargin);
+  lifecycle.set_limits({.refuse_after = kLateArrival - kMaxHoldUp,
+                        .abandon_after = std::min(longest_deadline, kMaxDeadline) + kAbandonMargin});
   const CpuMonitor cpu_monitor(loop, config.cpu_budget_per_second);
   for (const std::string& key : config.unknown) {
     log::write("settings", "'settings." + key + "' is unknown and ignored");
--- a/src/app/wind_down.cpp
+++ b/src/app/wind_down.cpp
@@ -67,8 +67,10 @@
   log::write("stop", "shutdown requested; open requests: " + std::to_string(conductor_.open_requests()));
   for (net::HttpServer* server : servers_) server->close_after_responses();
   on_shutdown_();
-  if (abandon_after_)
-    deadline_timer_ = loop_.at(loop_.now() + *abandon_after_, [this] { conductor_.abandon(); });
+  if (limits_) {
+    conductor_.refuse_from(loop_.now() + limits_->refuse_after);
+    deadline_timer_ = loop_.at(loop_.now() + limits_->abandon_after, [this] { conductor_.abandon(); });
+  }
   stop_listening_by_ = loop_.now() + accept_time_ + kAcceptRetryTime;
   poll_timer_ = loop_.at(loop_.now() + accept_time_, [this] { check_finished(); });
 }
--- a/src/app/wind_down.hpp
+++ b/src/app/wind_down.hpp
@@ -17,6 +17,13 @@
 // action kills the process, and an early one means that the file is newer than what has been read.
 void block_reload_signal();
 
+// What a process does some time after its shutdown began, because it is killed later. Times count from the
+// beginning of the shutdown.
+struct ShutdownLimits {
+  core::Duration refuse_after;   // requests that arrive later are refused
+  core::Duration abandon_after;  // requests whose answer has not begun by then are refused or failed
+};
+
 class ProcessLifecycle {
  public:
   // `accept_time`: how long new connections are still accepted after shutdown begins, because front layers
@@ -24,9 +31,8 @@
   ProcessLifecycle(net::Loop& loop, core::Conductor& conductor, std::vector<net::HttpServer*> servers,
                    core::Duration accept_time, std::function<void()> on_shutdown,
                    std::function<void()> reload);
-  // Abandons requests whose answer has not begun `time` after shutdown began, because the process is killed
-  // soon after that.
-  void set_abandon_after(core::Duration time) { abandon_after_ = time; }
+  // For a process that is killed some time after its shutdown began.
+  void set_limits(ShutdownLimits limits) { limits_ = limits; }
   void run();
 
  private:
@@ -40,7 +46,7 @@
   std::vector<net::HttpServer*> servers_;
   core::Duration accept_time_;
   std::function<void()> on_shutdown_, reload_;
-  std::optional<core::Duration> abandon_after_;
+  std::optional<ShutdownLimits> limits_;
   std::unique_ptr<core::Timer> poll_timer_, deadline_timer_;
   core::Time stop_listening_by_{0};  // even if connections are still waiting to be accepted
   bool shutting_down_ = false, forced_ = false;
--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -40,11 +40,8 @@
   r.client_request = std::move(client_request);
   r.reply = std::move(reply);
   r.arrived = scheduler_.now();
-  // Limits memory and sockets: each open request may hold a body and two connections.
-  const bool full = requests_.size() >= settings_.max_requests;
-  // After `abandon` there is no time left to serve new requests.
-  if (full || abandoned_) {
-    refuse(r, full ? Ending::Cause::table_full : Ending::Cause::refused, kTableFullRetryDelay);
+  if (const std::optional<Refusal> refusal = refusal_on_arrival(r.arrived)) {
+    refuse(r, refusal->cause, refusal->retry_delay);
     report_end(r);
     return 0;
   }
@@ -57,6 +54,15 @@
   return id;
 }
 
+std::optional<Conductor::Refusal> Conductor::refusal_on_arrival(Time arrived) const {
+  // No retry delay: other conductors serve at once.
+  if (refuse_from_ && arrived >= *refuse_from_) return Refusal{Ending::Cause::shutdown, {}};
+  // Limits memory and sockets: each open request may hold a body and two connections.
+  if (requests_.size() >= settings_.max_requests)
+    return Refusal{Ending::Cause::table_full, kTableFullRetryDelay};
+  return std::nullopt;
+}
+
 void Conductor::client_gone(RequestId id) { deliver(id, ClientGone{}); }
 
 void Conductor::update_fleet(const FleetUpdate& list_update) {
--- a/src/core/conductor.hpp
+++ b/src/core/conductor.hpp
@@ -60,7 +60,7 @@
   void observe(Observer observer) { observer_ = std::move(observer); }
 
   // Accepts a request and returns its id; returns 0 if it was refused at once, because too many are open or
-  // after `abandon`.
+  // because it came too late, see `refuse_from` and `abandon`.
   RequestId accept(ClientRequest client_request, std::unique_ptr<ClientReply> reply);
   // Reports that the client has closed its connection.
   void client_gone(RequestId id);
@@ -74,8 +74,12 @@
   [[nodiscard]] std::size_t listed() const;
   [[nodiscard]] std::size_t out_of_rotation() const;
 
-  // Ends all requests that have not begun to be answered, and every later one, so that each client gets a
-  // final answer and nothing stays held when this process is killed.
+  // Refuses every request that arrives at `time` or later. A process that is going to be killed calls this
+  // during its shutdown, because an answer that begins late would be cut off. Applies to requests as they are
+  // accepted, whether or not the loop was delayed in between.
+  void refuse_from(Time time) { refuse_from_ = time; }
+  // Ends all requests that have not begun to be answered, and refuses every later one, so that each client
+  // gets a final answer and nothing stays held when this process is killed.
   void abandon();
 
   // Offers each running stream to `take`; a stream that is taken (true) ends here. Returns how many were
@@ -124,6 +128,13 @@
     std::optional<AttemptEnd> end;
   };
 
+  // Why a request is refused as it arrives, and the advised delay before a retry.
+  struct Refusal {
+    Ending::Cause cause;
+    Duration retry_delay;
+  };
+  [[nodiscard]] std::optional<Refusal> refusal_on_arrival(Time arrived) const;
+
   // The lifecycle of a request, in request_lifecycle.cpp.
   Task serve(Request& r);
   // Starts the timers for the client's deadline for the first token.
@@ -218,7 +229,7 @@
   std::map<RequestId, RequestId> aliases_;  // later module ids of requests that were resumed
   recovery::FailureDetector failure_detector_;
   HeldCaches held_;
-  bool abandoned_ = false;  // see abandon
+  std::optional<Time> refuse_from_;  // refuses requests that arrive at this time or later
   std::vector<eiderarch::Event> events_;
   bool flush_due_ = false;
   std::map<std::uint64_t, std::unique_ptr<Timer>> module_timers_;
--- a/src/core/ports.hpp
+++ b/src/core/ports.hpp
@@ -51,6 +51,7 @@
   enum class Cause {
     refused,      // the module refused it, and a retry is harmless
     table_full,   // too many requests are open in this process
+    shutdown,     // it arrived too late during the shutdown to be answered before the process is killed
     no_decision,  // the client's deadline passed before the module had decided
     failed,       // the module failed it, and a retry may execute it twice
     broke_off,    // its stream broke off after it had begun
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -377,6 +377,26 @@
   CHECK(w.instances.log.empty());
 }
 
+// Guards against a stream that begins late in a shutdown and is cut off when the process is killed.
+TEST_CASE("Core: a request that arrives late in a shutdown is refused even if the loop was delayed") {
+  CoreFixture w;
+  w.list_instance("w", 2);
+  w.conductor->refuse_from(w.time.now() + 550ms);
+  w.time.delay_loop(549ms);
+  CHECK(w.send_request(0, 100) != 0);
+  CHECK(w.instances.log == EventLog{"open w"});
+  w.time.delay_loop(1ms);  // no timer has fired since
+  for (const std::uint32_t cls : {0, 1, 2}) CHECK(w.send_request(cls, 100) == 0);
+  CHECK(w.answers == EventLog{"refused", "refused", "refused"});
+  CHECK(w.instances.log == EventLog{"open w"});
+  w.instances.finish_write();
+  w.instances.attempt->events.on_data("x");
+  w.time.run_ready();
+  w.instances.end_attempt(Verdict::served);
+  w.time.run_ready();
+  CHECK(w.answers == EventLog{"refused", "refused", "refused", "begin", "x", "end"});
+}
+
 TEST_CASE("Core: nothing held is released once the stream has begun after prefill and handover") {
   CoreFixture w;
   w.list_instance("r", 0);
--- a/tests/integration/race_condition_test.cpp
+++ b/tests/integration/race_condition_test.cpp
@@ -16,6 +16,11 @@
 const std::string kChat = "POST /v1/chat/completions?v=2";
 const std::string kReady = "GET /-/ready HTTP/1.1\r\nConnection: close\r\n\r\n";
 
+// STANDING, "Beyond this bench": from this time after SIGTERM on, requests must not be under way at SIGKILL.
+constexpr auto kLateArrival = 700ms;
+// The same: how long a conductor may be held up.
+constexpr auto kMaxHoldUp = 150ms;
+
 bool contains_text(const std::string& text, const std::string& part) {
   return text.find(part) != std::string::npos;
 }
@@ -31,15 +36,19 @@
   };
 }
 
-// Sends the signal and waits until the program has handled it, which shows in its readiness.
-void signal_shutdown(Platform& platform, int signal) {
-  platform.program().send_signal(signal);
+// Waits until the program has handled the signal that ends it, which shows in its readiness.
+void wait_for_shutdown(const Platform& platform) {
   for (int i = 0; i < 500; ++i) {
     if (platform.ask(kReady).starts_with("HTTP/1.1 503")) return;
   }
   FAIL("the program did not become unready after the signal");
 }
 
+void signal_shutdown(Platform& platform, int signal) {
+  platform.program().send_signal(signal);
+  wait_for_shutdown(platform);
+}
+
 std::string without_close(std::string request) {
   return request.erase(request.find("Connection: close\r\n"), 19);
 }
@@ -197,6 +206,35 @@
   CHECK(std::chrono::steady_clock::now() - asked < 1500ms);
 }
 
+// Guards against a stream that begins so late after SIGTERM that SIGKILL cuts it off. The process is stopped
+// while SIGTERM arrives, since a delayed loop handles the signal later than it was sent.
+TEST_CASE("Crossing: a request that is complete 0.7 s after SIGTERM is refused and sent to no instance") {
+  EventLog seen;
+  ScriptedServer instance(serve_requests(seen));
+  Platform platform({{"w", "mixto", instance.address()}});
+  const auto early = platform.connect(), late = platform.connect();
+  const std::string early_request = client_request("early", "consulta", 5000, 100);
+  const std::string late_request = client_request("late", "consulta", 5000, 100);
+  early->send(early_request.substr(0, early_request.size() / 2));
+  late->send(late_request.substr(0, late_request.size() / 2));
+  REQUIRE(platform.ask(kReady).starts_with("HTTP/1.1 200"));  // from here on it handles signals
+  const auto told = std::chrono::steady_clock::now();
+  platform.program().send_signal(SIGSTOP);
+  platform.program().terminate();
+  std::this_thread::sleep_until(told + kMaxHoldUp);
+  platform.program().send_signal(SIGCONT);
+  wait_for_shutdown(platform);
+  const auto handled = std::chrono::steady_clock::now();
+  early->send(early_request.substr(early_request.size() / 2));
+  CHECK(early->receive_all().ends_with("0\r\n\r\n"));
+  // A busy machine may hold the process up for longer than the rule allows for.
+  std::this_thread::sleep_until(std::max(told, handled - kMaxHoldUp) + kLateArrival);
+  late->send(late_request.substr(late_request.size() / 2));
+  CHECK(late->receive_all().starts_with("HTTP/1.1 503"));
+  CHECK(platform.program().wait() == 0);
+  CHECK(seen.all() == std::vector<std::string>{"early"});
+}
+
 TEST_CASE("Crossing: connections in the backlog when accepting stops are answered") {
   EventLog seen;
   ScriptedServer instance(serve_requests(seen));
