Never replay an answer to a marked retry that has no Idempotency-Key

On the appliance, a client without a key whose `ajuste` was refused (503, "nothing was run", x-should-retry: true) got on its marked retry 200 with the recorded answer of an earlier request of the same words. No instance had run its own.

Cause: without a key an entry is named by session and words, and a request marked as a retry was taken for the retry of whatever had left its answer there (src/admission/ledger.cpp, before: lines 31 to 33; door.cpp, case `ended`; front.cpp, `admit`). The mark says that it is a retry, not of which request.

Change: without a key no answer is stored, and a marked retry beside an identical request that may have run is told 502 `outcome_unknown`, with words that say why. It runs if nothing of these words may have run, as before. With a key nothing changes.

Why it works: an answer is given again only to a request that names the same Idempotency-Key, by which the client itself says that it is the same request. Nothing runs twice: a retry still finds what may have run.

Tried and taken back: `x-should-retry: false` on such a refusal; "Admission: a key over its limits ..." and the conformance suite's section "at full capacity" hold refusals to name a wait, and rightly.

--- a/src/admission/door.cpp
+++ b/src/admission/door.cpp
@@ -17,6 +17,12 @@
 // requests as it may have: about the time an answer takes to begin.
 constexpr Duration kRetryWhileOpen = 1s;
 
+// How the ledger identifies the request: a request without a key is a first try unless it is marked.
+RequestIdentity identity_of(const AdmissionRequest& request) {
+  if (!request.idempotency_key.empty()) return RequestIdentity::client_key;
+  return request.retry_count > 0 ? RequestIdentity::marked_retry : RequestIdentity::first_try;
+}
+
 std::string hex(std::uint64_t value) {
   char text[17];
   std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(value));
@@ -71,16 +77,15 @@
   // The ledger entry is named by the client's Idempotency-Key. A request without a key whose class must never
   // run twice is named by its session and digest, which a repeat shares with it.
   const bool keyed = !request.idempotency_key.empty();
+  ticket.by_key = keyed;
   if (ledger_.limits().entries > 0 && (keyed || request.once)) {
     const std::string name =
         keyed ? request.idempotency_key : "same " + hex(request.session) + " " + hex(request.digest);
-    const bool first = !keyed && request.retry_count <= 0;
     const Ledger::BeginResult begun =
-        ledger_.begin(now, ticket.tenant, name, request.digest, request.once, first);
+        ledger_.begin(now, ticket.tenant, name, request.digest, request.once, identity_of(request));
     switch (begun.status) {
       case Ledger::BeginStatus::fresh:
         ticket.ledger_entry = begun.number;
-        ticket.by_key = keyed;
         break;
       case Ledger::BeginStatus::running:
         return reject(AdmissionStatus::in_progress, tenant.held_off, kRetryWhileOpen);
--- a/src/admission/door.hpp
+++ b/src/admission/door.hpp
@@ -43,7 +43,8 @@
   too_many_tenants,  // 503: more tenants are active at once than the limiter can track
   in_progress,       // 409: the first request with this key is still running; `wait` is set
   key_reused,        // 422: the key was used for a different request
-  replay,            // repeat of an ended request: `answer` is its answer, null if unknown
+  replay,            // repeat of an ended request: `answer` is its answer, null if unknown or if the
+                     // request has no key, so that it may be the retry of another one
   ledger_full,       // 503: the ledger is full, and the request must not run without an entry
 };
 
@@ -54,7 +55,7 @@
   Limits limits;       // at the time of admission; the key's limits may change while it runs
   Tokens reserved = 0;
   Ledger::Number ledger_entry = 0;  // 0: it has no ledger entry
-  bool by_key = false;              // its ledger entry is named by the client's Idempotency-Key
+  bool by_key = false;              // it has an Idempotency-Key, which names its ledger entry
 };
 
 struct AdmissionResult {
--- a/src/admission/ledger.cpp
+++ b/src/admission/ledger.cpp
@@ -15,13 +15,13 @@
 }  // namespace
 
 Ledger::BeginResult Ledger::begin(Time now, const std::string& tenant, const std::string& key,
-                                  std::uint64_t digest, bool once, bool first_try) {
+                                  std::uint64_t digest, bool once, RequestIdentity identity) {
   expire(now);
   std::string name = lookup_key(tenant, key);
   if (const auto known = by_lookup_key_.find(name); known != by_lookup_key_.end()) {
     Entry& entry = entries_.at(known->second);
     if (entry.digest != digest) return {BeginStatus::key_reused, known->second, nullptr};
-    if (first_try) {
+    if (identity == RequestIdentity::first_try) {
       if (entry.eviction_position)
         ended_list(entry).erase(*std::exchange(entry.eviction_position, std::nullopt));
       ++entry.open;
@@ -38,6 +38,7 @@
   entry.key = key;
   entry.digest = digest;
   entry.once = once;
+  entry.by_client_key = identity == RequestIdentity::client_key;
   entries_.emplace(number, std::move(entry));
   by_lookup_key_.emplace(std::move(name), number);
   return {BeginStatus::fresh, number, nullptr};
@@ -56,7 +57,8 @@
   Entry& entry = it->second;
   --entry.open;
   entry.may_have_run |= may_have_run;
-  if (answer && answer->body.size() > limits_.max_answer_bytes) answer.reset();
+  const bool stores_answer = entry.by_client_key && answer && answer->body.size() <= limits_.max_answer_bytes;
+  if (!stores_answer) answer.reset();
   if (may_have_run && !answer) entry.outcome_unknown = true;
   if (may_have_run && answer) {
     if (entry.answer) drop_answer(entry);
--- a/src/admission/ledger.hpp
+++ b/src/admission/ledger.hpp
@@ -1,6 +1,8 @@
-// The idempotency ledger: stores the state and answer of each request under its idempotency key, so that a
-// client's repeat does not run a second time. Bounded by entries, bytes of recorded answers and age. Has no
-// I/O and no clock; a store on disk could implement the same interface.
+// The idempotency ledger: stores the state of each request under its idempotency key, and its answer, so that
+// a client's repeat does not run a second time. At-most-once requests without a key have entries too, named
+// by session and words. Such a name does not prove that a request is a repeat, so no answer is stored.
+// Bounded by entries, bytes of recorded answers and age. Has no I/O and no clock; a store on disk could
+// implement the same interface.
 #pragma once
 
 #include <cstdint>
@@ -33,13 +35,20 @@
   bool streamed = false;
 };
 
+// How a request is identified when its ledger entry is looked up.
+enum class RequestIdentity {
+  client_key,    // by its Idempotency-Key: any other request with that key is the same request
+  marked_retry,  // by session and words; it claims to be a retry, but not of which request
+  first_try,     // by session and words; it does not claim to be a retry
+};
+
 class Ledger {
  public:
   using Number = std::uint64_t;
   enum class BeginStatus {
     fresh,       // run the request; its entry is open under `number`
     running,     // the first request is still running
-    ended,       // `answer` is its answer, or null if the outcome is unknown
+    ended,       // `answer` is its answer, or null if the outcome is unknown or may be another request's
     key_reused,  // the key was used for a request with another digest
     full,        // no room for an entry, so the request cannot be protected
   };
@@ -63,11 +72,10 @@
 
   // Opens an entry for a request, or finds the one of an earlier request with the same key.
   // `digest`: of path and body. `once`: requests of its class must not run twice, so the entry is
-  // retained until it expires. `first_try`: the request has no key of its own and does not claim to be a
-  // retry. It runs, and shares one entry with identical requests, so that a repeat of any of them finds what
-  // may have run.
+  // retained until it expires. A first try without a key runs, and shares one entry with identical requests,
+  // so that a marked retry of any of them finds what may have run.
   BeginResult begin(Time now, const std::string& tenant, const std::string& key, std::uint64_t digest,
-                    bool once, bool first_try = false);
+                    bool once, RequestIdentity identity = RequestIdentity::client_key);
   // True: an attempt that may execute the request is about to be sent. False: that attempt is proved not to
   // have executed it.
   void record_attempt(Number number, bool may_have_run = true);
@@ -86,6 +94,7 @@
     std::string tenant, key;
     std::uint64_t digest = 0;
     bool once = false;             // requests of its class must not run twice
+    bool by_client_key = false;    // named by an Idempotency-Key
     int open = 1;                  // requests under this entry that have not ended
     int pending_attempts = 0;      // attempts that may be executing one of them
     bool may_have_run = false;     // a request that has ended may have been executed
--- a/src/net/openai/admitted.cpp
+++ b/src/net/openai/admitted.cpp
@@ -111,11 +111,11 @@
 }
 
 bool RequestAccount::fits_ledger(std::size_t bytes) const {
-  return ticket_.ledger_entry != 0 && bytes <= admission_control_.ledger().limits().max_answer_bytes;
+  return protects() && bytes <= admission_control_.ledger().limits().max_answer_bytes;
 }
 
 void RequestAccount::record_sent(std::string_view bytes) {
-  if (ticket_.ledger_entry == 0 || too_large_) return;
+  if (!protects() || too_large_) return;
   too_large_ = !fits_ledger(sent_stream_.size() + bytes.size());
   if (too_large_) {
     std::string().swap(sent_stream_);
--- a/src/net/openai/admitted.hpp
+++ b/src/net/openai/admitted.hpp
@@ -43,6 +43,7 @@
   void rejected(int status, std::string_view content_type, std::string_view body);
 
  private:
+  // Whether the ledger stores the request's answer, and one of this size.
   [[nodiscard]] bool fits_ledger(std::size_t bytes) const;
   // Reports the end of the request to admission control, which charges the tokens actually used and records
   // `answer` in the ledger. Only the first call has an effect.
--- a/src/net/openai/door_answers.cpp
+++ b/src/net/openai/door_answers.cpp
@@ -51,7 +51,11 @@
           409,
           "invalid_request_error",
           "request_in_progress",
-          "The first request with this Idempotency-Key is still running; its answer can be asked for again.",
+          result.ticket.by_key
+              ? "The first request with this Idempotency-Key is still running; its answer can be asked for "
+                "again."
+              : "An identical request is still running, of which this may be a retry; ask again when it has "
+                "ended.",
           true,
           result.wait};
     case AdmissionStatus::key_reused:
@@ -66,8 +70,11 @@
               result.wait};
     default:
       return {502, "server_error", "outcome_unknown",
-              "The first request with this key may have run, and its answer is not known: look before asking "
-              "again."};
+              result.ticket.by_key
+                  ? "The first request with this key may have run, and its answer is not known: look before "
+                    "asking again."
+                  : "An identical request may have run, and whether this is its retry is not known: look "
+                    "before asking again, with an Idempotency-Key."};
   }
 }
 
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -170,20 +170,49 @@
 TEST_CASE("Ledger: identical first tries share one entry, so a repeat of a lost one never runs") {
   Ledger ledger({});
   // The first request is lost. An identical second one, also a first try, ends without having run.
-  const auto lost = ledger.begin(1s, "t", "same", 1, true, true);
+  const auto lost = ledger.begin(1s, "t", "same", 1, true, RequestIdentity::first_try);
   ledger.record_attempt(lost.number);
   ledger.end(1s, lost.number, true, std::nullopt);
-  const auto twin = ledger.begin(2s, "t", "same", 1, true, true);
+  const auto twin = ledger.begin(2s, "t", "same", 1, true, RequestIdentity::first_try);
   CHECK(twin.status == BeginStatus::fresh);
-  CHECK(ledger.begin(2s, "t", "same", 1, true).status == BeginStatus::running);
+  const auto retry = [&ledger](Time now) {
+    return ledger.begin(now, "t", "same", 1, true, RequestIdentity::marked_retry);
+  };
+  CHECK(retry(2s).status == BeginStatus::running);
   ledger.end(3s, twin.number, false, std::nullopt);
-  const auto repeat = ledger.begin(4s, "t", "same", 1, true);
+  const auto repeat = retry(4s);
   CHECK(repeat.status == BeginStatus::ended);
   CHECK(repeat.answer == nullptr);
   // The answer of a later identical request is not replayed for the lost one.
-  const auto third = ledger.begin(5s, "t", "same", 1, true, true);
+  const auto third = ledger.begin(5s, "t", "same", 1, true, RequestIdentity::first_try);
   ledger.end(6s, third.number, true, RecordedAnswer{200, "", "done", false});
-  CHECK(ledger.begin(7s, "t", "same", 1, true).answer == nullptr);
+  CHECK(retry(7s).answer == nullptr);
+}
+
+// Guards against the answer of one request for the retry of another: the words of both are the same.
+TEST_CASE("Ledger: without a key no answer is stored, and a retry that may be another request's never runs") {
+  Ledger ledger({});
+  const auto first_try = [&ledger](Time now) {
+    return ledger.begin(now, "t", "same", 1, true, RequestIdentity::first_try);
+  };
+  const auto retry = [&ledger](Time now) {
+    return ledger.begin(now, "t", "same", 1, true, RequestIdentity::marked_retry);
+  };
+  const auto refused_alone = first_try(1s);
+  ledger.end(1s, refused_alone.number, false, std::nullopt);
+  const auto served = retry(2s);
+  CHECK(served.status == BeginStatus::fresh);
+  ledger.record_attempt(served.number);
+  ledger.end(3s, served.number, true, RecordedAnswer{200, "", "the first one's", false});
+  CHECK(ledger.answer_bytes() == 0);
+  // Of all the requests with these words, refused or never seen here, this may be the retry of any.
+  CHECK(retry(4s).status == BeginStatus::ended);
+  CHECK(retry(4s).answer == nullptr);
+  const auto refused = first_try(5s);
+  CHECK(refused.status == BeginStatus::fresh);
+  ledger.end(5s, refused.number, false, std::nullopt);
+  CHECK(retry(6s).status == BeginStatus::ended);
+  CHECK(retry(6s).answer == nullptr);
 }
 
 TEST_CASE("Ledger: entries shown to operators say whether the request may have run") {
--- a/tests/door_test.cpp
+++ b/tests/door_test.cpp
@@ -205,6 +205,36 @@
   CHECK(control.admit(4s, {}, request).status == AdmissionStatus::admitted);
 }
 
+// Guards against a request that no instance ran and whose retry gets the answer of an identical one. What
+// refuses its first try, if the ledger sees that at all, makes no difference.
+TEST_CASE("Admission control: a marked retry without a key never gets the answer of an identical request") {
+  AdmissionControl control = make_door({make_key(kFirstId, "norte", {2, 0, 0})});
+  const Caller norte = *control.identify(format_key(kFirstId, kSecret));
+  AdmissionRequest request = at_most_once_request("");
+  request.session = 7;
+  const AdmissionResult first = control.admit(1s, norte, request);
+  REQUIRE(first.status == AdmissionStatus::admitted);
+  control.record_attempt(first.ticket);
+  control.request_ended(1s, first.ticket, {true, 10, 10, RecordedAnswer{200, "", "its answer", false}});
+  const auto check_retry = [&](Time now) {
+    AdmissionRequest retry = request;
+    retry.retry_count = 1;
+    const AdmissionResult result = control.admit(now, norte, retry);
+    CHECK(result.status == AdmissionStatus::replay);
+    CHECK(result.answer == nullptr);
+    CHECK(std::string(net::openai::error_reply(result).code) == "outcome_unknown");
+  };
+  check_retry(2s);  // its first try never came here
+  const AdmissionResult turned_away = control.admit(2s, norte, request);
+  REQUIRE(turned_away.status == AdmissionStatus::admitted);
+  control.record_attempt(turned_away.ticket);
+  control.record_attempt(turned_away.ticket, false);
+  control.request_ended(2s, turned_away.ticket, {});
+  check_retry(3s);  // its first try was turned away by every instance
+  while (control.admit(3s, norte, request).status == AdmissionStatus::admitted) continue;
+  CHECK(control.admit(3s, norte, request).status == AdmissionStatus::limited);
+}
+
 TEST_CASE("Admission control: a full ledger rejects an at-most-once request that has a key") {
   AdmissionLimits limits;
   limits.ledger.entries = 1;
--- a/tests/integration/admission_test.cpp
+++ b/tests/integration/admission_test.cpp
@@ -285,6 +285,42 @@
   CHECK(send_request(appliance, kAjuste, {"", "", "0"}).starts_with("HTTP/1.1 200"));
 }
 
+// Guards against an `ajuste` that no instance ran and whose client gets an earlier one's answer as its own.
+TEST_CASE("Admission: the marked retry of a refused request never gets the answer of an identical one") {
+  EventLog seen;
+  std::atomic<bool> full{false};
+  ScriptedServer one(instance_script(seen, [&](TestConnection& wire, const Message& m) {
+    if (full) {
+      wire.send(plain_response("503 Service Unavailable", "", "X-Turned-Away: 1\r\n"));
+    } else {
+      wire.send(json::parse(m.body).value("stream", false) ? stream_text() : json_answer("200 OK", kWhole));
+    }
+    return true;
+  }));
+  Appliance appliance({one.address()});
+  for (const std::string& body : {kAjuste, kStream}) {
+    full = true;
+    const std::string refused_alone = send_request(appliance, body, {"", "", "0"});
+    CHECK(refused_alone.starts_with("HTTP/1.1 503"));
+    CHECK(contains(refused_alone, "x-should-retry: true"));
+    full = false;
+    CHECK(send_request(appliance, body, {"", "", "1"}).starts_with("HTTP/1.1 200"));  // nothing had run
+    full = true;
+    const std::string refused = send_request(appliance, body, {"", "", "0"});
+    CHECK(refused.starts_with("HTTP/1.1 503"));
+    full = false;
+    seen.clear();
+    const std::string retry = send_request(appliance, body, {"", "", "1"});
+    CHECK(retry.starts_with("HTTP/1.1 502"));
+    CHECK(json_body(retry)["error"]["code"] == "outcome_unknown");
+    CHECK(contains(retry, "x-should-retry: false"));
+    CHECK(seen.count(kChat) == 0);
+    // A new request is run, and gets its own answer.
+    CHECK(send_request(appliance, body, {"", "", "0"}).starts_with("HTTP/1.1 200"));
+    CHECK(seen.count(kChat) == 1);
+  }
+}
+
 TEST_CASE(
     "Admission: a stream whose key is revoked is completed, and the next request with the key is rejected") {
   EventLog seen;
