End a lost stream with 'length' only where its token limit is known to be used up

What clients saw: a stream that had lost its instance ended with finish reason `length` and [DONE] although its limit was not used up, with no instance having ended it. Cause: StreamRecovery::instance_lost (src/recovery/recovery.cpp, before: lines 239 to 243) compared the limit with an estimate of four bytes a token; words of longer tokens reach it early. Change: `length` is said only if the usage, or one token for each event with text, proves it; if only the estimate says so, the stream fails. The estimate still bounds what the next instance may write, so that no answer grows beyond its limit.

--- a/src/recovery/recovery.cpp
+++ b/src/recovery/recovery.cpp
@@ -102,8 +102,10 @@
       written.finished |= member(choice, "finish_reason") != nullptr;
     }
   });
-  written.tokens = std::max(text_events, std::int64_t(written.text.size()) / kBytesPerToken);
-  if (written.usage) written.tokens = std::max(written.tokens, number(*written.usage, "completion_tokens"));
+  written.min_tokens = text_events;
+  if (written.usage)
+    written.min_tokens = std::max(written.min_tokens, number(*written.usage, "completion_tokens"));
+  written.tokens = std::max(written.min_tokens, std::int64_t(written.text.size()) / kBytesPerToken);
   return written;
 }
 
@@ -237,7 +239,9 @@
     const json* token_limit = member(request, name);
     if (token_limit == nullptr) continue;
     next.remaining_tokens = number(request, name) - written_.tokens;
-    if (next.remaining_tokens <= 0) {
+    const bool limit_reached = number(request, name) <= written_.min_tokens;
+    if (next.remaining_tokens <= 0 && !limit_reached) return give_up("its token limit may be used up");
+    if (limit_reached) {
       next.action = Continuation::Action::finish;
       next.bytes = retain(event_of(chunk("", "length")) + "data: [DONE]\n\n");
       return next;
--- a/src/recovery/recovery.hpp
+++ b/src/recovery/recovery.hpp
@@ -26,7 +26,9 @@
 // The partial answer, as read from the retained events.
 struct WrittenAnswer {
   std::string text;
-  // As reported in the usage; at least one for each event with text and one for each four bytes of text.
+  // At least so many tokens: as reported in the usage, and one for each event with text.
+  std::int64_t min_tokens = 0;
+  // An estimate: `min_tokens`, or one for each four bytes of text if that is more.
   std::int64_t tokens = 0;
   bool tool_calls = false, other_choices = false, finished = false;
   // The fields that every event repeats: id, created, model and so on.
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -205,6 +205,24 @@
   CHECK(full.bytes.find("\"length\"") != std::string::npos);
 }
 
+// Guards against an answer that is cut short and reaches its client as one that has used up its limit.
+TEST_CASE("Recovery: an answer that is only estimated to have reached its token limit is not ended as such") {
+  const std::string four_tokens = "internationalization disestablishment";
+  for (const auto& [max_tokens, action] :
+       {std::pair(4, Continuation::Action::give_up), std::pair(9, Continuation::Action::give_up),
+        std::pair(10, Continuation::Action::resume)}) {
+    StreamRecovery recovery(ContinuationMode::final_message, AnswerFormat::chat);
+    (void)recovery.forward(content_event("first", four_tokens));
+    const Continuation next = recovery.instance_lost(request({{"max_tokens", max_tokens}}).dump());
+    CHECK(next.action == action);
+    CHECK(next.bytes.empty());
+  }
+  StreamRecovery reported(ContinuationMode::final_message, AnswerFormat::chat);
+  (void)reported.forward(content_event("first", four_tokens));
+  (void)reported.forward(event({{"choices", json::array()}, {"usage", {{"completion_tokens", 4}}}}));
+  CHECK(reported.instance_lost(request({{"max_tokens", 4}}).dump()).action == Continuation::Action::finish);
+}
+
 TEST_CASE("Recovery: completions continue from the prompt plus the text so far") {
   StreamRecovery recovery(ContinuationMode::prompt, AnswerFormat::completion);
   const auto words = [](const char* text) {
