Serve requests that came in time during a shutdown and are read late

Cause: the loop knows only when it reads. Change: during a shutdown the kernel is asked how long ago the last byte came (TCP_INFO), and that time counts, as PROTOCOL says ("counts from its last byte"). Where the kernel does not tell, the time of reading counts, which refuses more and breaks nothing. After `abandon` nothing is accepted.

--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -40,7 +40,7 @@
   r.client_request = std::move(client_request);
   r.reply = std::move(reply);
   r.arrived = scheduler_.now();
-  if (const std::optional<Refusal> refusal = refusal_on_arrival(r.arrived)) {
+  if (const std::optional<Refusal> refusal = refusal_on_arrival(r.arrived - r.client_request.waited)) {
     refuse(r, refusal->cause, refusal->retry_delay);
     report_end(r);
     return 0;
@@ -54,9 +54,10 @@
   return id;
 }
 
-std::optional<Conductor::Refusal> Conductor::refusal_on_arrival(Time arrived) const {
+std::optional<Conductor::Refusal> Conductor::refusal_on_arrival(Time received) const {
   // No retry delay: other conductors serve at once.
-  if (refuse_from_ && arrived >= *refuse_from_) return Refusal{Ending::Cause::shutdown, {}};
+  const bool too_late = refuse_from_ && received >= *refuse_from_;
+  if (abandoned_ || too_late) return Refusal{Ending::Cause::shutdown, {}};
   // Limits memory and sockets: each open request may hold a body and two connections.
   if (requests_.size() >= settings_.max_requests)
     return Refusal{Ending::Cause::table_full, kTableFullRetryDelay};
--- a/src/core/conductor.hpp
+++ b/src/core/conductor.hpp
@@ -74,9 +74,9 @@
   [[nodiscard]] std::size_t listed() const;
   [[nodiscard]] std::size_t out_of_rotation() const;
 
-  // Refuses every request that arrives at `time` or later. A process that is going to be killed calls this
-  // during its shutdown, because an answer that begins late would be cut off. Applies to requests as they are
-  // accepted, whether or not the loop was delayed in between.
+  // Refuses every request whose last byte arrives at `time` or later. A process that is going to be killed
+  // calls this during its shutdown, because an answer that begins late would be cut off. Applies to requests
+  // as they are accepted, whether or not the loop was delayed in between.
   void refuse_from(Time time) { refuse_from_ = time; }
   // Ends all requests that have not begun to be answered, and refuses every later one, so that each client
   // gets a final answer and nothing stays held when this process is killed.
@@ -133,7 +133,7 @@
     Ending::Cause cause;
     Duration retry_delay;
   };
-  [[nodiscard]] std::optional<Refusal> refusal_on_arrival(Time arrived) const;
+  [[nodiscard]] std::optional<Refusal> refusal_on_arrival(Time received) const;
 
   // The lifecycle of a request, in request_lifecycle.cpp.
   Task serve(Request& r);
@@ -229,7 +229,8 @@
   std::map<RequestId, RequestId> aliases_;  // later module ids of requests that were resumed
   recovery::FailureDetector failure_detector_;
   HeldCaches held_;
-  std::optional<Time> refuse_from_;  // refuses requests that arrive at this time or later
+  bool abandoned_ = false;           // see abandon
+  std::optional<Time> refuse_from_;  // see refuse_from
   std::vector<eiderarch::Event> events_;
   bool flush_due_ = false;
   std::map<std::uint64_t, std::unique_ptr<Timer>> module_timers_;
--- a/src/core/request_record.hpp
+++ b/src/core/request_record.hpp
@@ -13,7 +13,8 @@
 struct ClientRequest {
   eiderarch::RequestArrived facts;  // the conductor sets its id
   PayloadPtr payload;
-  std::string name;  // the request's id as its client sent it, for the log
+  std::string name;    // the request's id as its client sent it, for the log
+  Duration waited{0};  // how long its last byte had been here, unread, when the front accepted it
 };
 
 // One attempt of a request, part of its record. Times count from the request's arrival.
--- a/src/core/shutdown.cpp
+++ b/src/core/shutdown.cpp
@@ -7,7 +7,7 @@
 using eiderarch::Outcome;
 
 void Conductor::abandon() {
-  refuse_from(scheduler_.now());
+  abandoned_ = true;
   for (auto& [id, r] : requests_) {
     if (!r->streaming && !r->resumed && !r->lifecycle.done()) r->inbox.push(Aborted{});
   }
--- a/src/net/http/http_connection.cpp
+++ b/src/net/http/http_connection.cpp
@@ -176,6 +176,13 @@
   start_closing();
 }
 
+core::Duration HttpConnection::input_age() const {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (getsockopt(bufferevent_getfd(stream_.get()), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return 0s;
+  return std::chrono::milliseconds(info.tcpi_last_data_recv);
+}
+
 bool HttpConnection::client_closed() const {
   pollfd client{bufferevent_getfd(stream_.get()), POLLRDHUP, 0};
   return poll(&client, 1, 0) > 0;
@@ -330,6 +337,10 @@
 
 bool IncomingRequest::client_closed() const { return state_ != State::over && connection_->client_closed(); }
 
+core::Duration IncomingRequest::waited() const {
+  return connection_->server_.closing_after_responses_ ? connection_->input_age() : core::Duration{0};
+}
+
 bool IncomingRequest::reserve_bytes(std::size_t bytes) {
   HttpServer& server = connection_->server_;
   if (server.body_bytes_ + bytes > server.limits_.body_bytes) return false;
--- a/src/net/http/http_connection.hpp
+++ b/src/net/http/http_connection.hpp
@@ -34,6 +34,9 @@
   // Whether the client has closed its sending side. Asks the kernel, as the loop may not have reported it
   // yet.
   [[nodiscard]] bool client_closed() const;
+  // How long ago the kernel received the last input; zero if it does not tell. Input waits there unread while
+  // the loop is delayed.
+  [[nodiscard]] core::Duration input_age() const;
   // Continues a response stream of another process; `unsent` is output that the client has not been sent yet.
   void resume_stream(bool chunked, bool last, std::string_view unsent);
 
--- a/src/net/http/http_server.hpp
+++ b/src/net/http/http_server.hpp
@@ -42,6 +42,8 @@
   // Whether the client has closed its connection or its sending side. Asks the kernel, as the loop may not
   // have reported it yet.
   [[nodiscard]] bool client_closed() const;
+  // During a shutdown: how long the request's last byte had been waiting in the kernel when it was read.
+  [[nodiscard]] core::Duration waited() const;
   // Sets a callback for the loss of the client's connection before the answer has ended.
   void on_disconnect(std::function<void()> gone) { on_disconnect_ = std::move(gone); }
   // Reserves further bytes for this request until it is answered; false if the server's total would exceed
--- a/src/net/platform/platform_front.cpp
+++ b/src/net/platform/platform_front.cpp
@@ -97,6 +97,7 @@
   const std::string resent = incoming.header("X-Resent");
   ask.facts.client_retry = resent == "1";
   ask.facts.resumed = resent == "again";
+  ask.waited = incoming.waited();
   payload->method = incoming.method();
   payload->target = incoming.target();
   payload->headers = incoming.headers();
--- a/tests/core_fixture.hpp
+++ b/tests/core_fixture.hpp
@@ -152,8 +152,11 @@
     time.run_ready();
   }
   // `continuations`: how many times the reply can continue an answer whose instance was lost.
-  RequestId send_request(std::uint32_t cls, Tokens prompt, Duration patience = 5s, int continuations = 0) {
+  // `waited`: how long the request had been in the socket before it was read.
+  RequestId send_request(std::uint32_t cls, Tokens prompt, Duration patience = 5s, int continuations = 0,
+                         Duration waited = 0s) {
     ClientRequest client_request;
+    client_request.waited = waited;
     client_request.facts.request_class = cls;
     client_request.facts.session = 7;
     client_request.facts.prompt_tokens = prompt;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -397,6 +397,20 @@
   CHECK(w.answers == EventLog{"refused", "refused", "refused", "begin", "x", "end"});
 }
 
+TEST_CASE(
+    "Core: a request that arrived early in a shutdown and is read late is served until the others end") {
+  CoreFixture w;
+  w.list_instance("w", 2);
+  w.conductor->refuse_from(w.time.now() + 550ms);
+  w.time.delay_loop(600ms);
+  CHECK(w.send_request(0, 100, 5s, 0, 50ms) == 0);
+  CHECK(w.instances.log.empty());
+  CHECK(w.send_request(0, 100, 5s, 0, 51ms) != 0);
+  CHECK(w.instances.log == EventLog{"open w"});
+  w.conductor->abandon();
+  CHECK(w.send_request(0, 100, 5s, 0, 500ms) == 0);
+}
+
 TEST_CASE("Core: nothing held is released once the stream has begun after prefill and handover") {
   CoreFixture w;
   w.list_instance("r", 0);
