Handle signals before the first listening socket

Cause: servers listen as they are constructed (src/app/serve.cpp), and ProcessLifecycle::run installs the handlers after that. Change: SIGTERM and SIGINT are blocked from the start of `serve` on, as SIGHUP was, until they are handled, and again once the loop has ended, when no handler is left.

Test: "Crossing: a signal to a process that listens and does not run yet is handled, not fatal" holds a process in that state by a passed socket and a silent discovery.

--- a/src/app/wind_down.cpp
+++ b/src/app/wind_down.cpp
@@ -21,16 +21,16 @@
 // For the answers and releases of requests that a second SIGINT abandons.
 constexpr core::Duration kForcedStopDelay = 300ms;
 
-void mask_reload_signal(int how) {
+void mask_signals(int how) {
   sigset_t signals;
   sigemptyset(&signals);
-  sigaddset(&signals, SIGHUP);
+  for (const int signal : {SIGHUP, SIGTERM, SIGINT}) sigaddset(&signals, signal);
   sigprocmask(how, &signals, nullptr);
 }
 
 }  // namespace
 
-void block_reload_signal() { mask_reload_signal(SIG_BLOCK); }
+void block_signals() { mask_signals(SIG_BLOCK); }
 
 ProcessLifecycle::ProcessLifecycle(net::Loop& loop, core::Conductor& conductor,
                                    std::vector<net::HttpServer*> servers, core::Duration accept_time,
@@ -49,8 +49,9 @@
   const net::EventPtr term = loop_.on_signal(SIGTERM, &on_term);
   const net::EventPtr interrupt = loop_.on_signal(SIGINT, &on_interrupt);
   const net::EventPtr hang_up = loop_.on_signal(SIGHUP, &reload_);
-  mask_reload_signal(SIG_UNBLOCK);
+  mask_signals(SIG_UNBLOCK);
   loop_.run();
+  mask_signals(SIG_BLOCK);  // for the rest of the process, which has no handlers any more
   const core::RequestCounters& counters = conductor_.figures();
   log::write("stop", "taken " + std::to_string(counters.taken) + ", served " +
                          std::to_string(counters.served) + ", refused " + std::to_string(counters.refused) +
--- a/src/app/wind_down.hpp
+++ b/src/app/wind_down.hpp
@@ -13,9 +13,10 @@
 
 namespace bankmux::app {
 
-// Blocks SIGHUP until ProcessLifecycle::run. Call it before reading the configuration: the signal's default
-// action kills the process, and an early one means that the file is newer than what has been read.
-void block_reload_signal();
+// Blocks SIGHUP, SIGTERM and SIGINT until ProcessLifecycle::run handles them, since their default action
+// kills the process. Call it before reading the configuration: an early SIGHUP means that the file is newer
+// than what has been read, and an early SIGTERM must not reset connections that clients have opened by then.
+void block_signals();
 
 // What a process does some time after its shutdown began, because it is killed later. Times count from the
 // beginning of the shutdown.
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -120,7 +120,7 @@
       std::printf("ok: listens at %s\n", listen.c_str());
     }
     if (serve->parsed()) {
-      app::block_reload_signal();
+      app::block_signals();
       if (appliance.empty()) {
         app::serve(config::read_config(environment), [] { return config::reread_config(environment); });
       } else {
--- a/tests/integration/race_condition_test.cpp
+++ b/tests/integration/race_condition_test.cpp
@@ -1,5 +1,7 @@
 // Race conditions between two events, one test for each row of docs/crossings.md that can be provoked through
 // sockets.
+#include <unistd.h>
+
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <csignal>
@@ -235,6 +237,23 @@
   CHECK(seen.all() == std::vector<std::string>{"early"});
 }
 
+// Guards against a signal that ends a process by default while it listens already but does not run yet. The
+// silent discovery keeps it in this state.
+TEST_CASE("Crossing: a signal to a process that listens and does not run yet is handled, not fatal") {
+  const std::string address = unique_address();
+  const int socket = listening_socket(address);
+  {
+    Platform platform({}, site_settings(),
+                      {{"PROXY_LISTEN", address}, {"PROXY_PASSED_SOCKET", std::to_string(socket)}});
+    REQUIRE(platform.watches.wait_for("GET /api/targets?follow=1&since=1 HTTP/1.1"));
+    platform.program().send_signal(SIGHUP);
+    platform.program().terminate();
+    CHECK(platform.program().wait() == 0);
+    CHECK(contains_text(platform.program().output(), "shutdown requested"));
+  }
+  ::close(socket);
+}
+
 TEST_CASE("Crossing: connections in the backlog when accepting stops are answered") {
   EventLog seen;
   ScriptedServer instance(serve_requests(seen));
