Pass the end of an answer to the core in one call, which may destroy the attempt

Cause: HttpAttempt::on_end (src/net/instances/instance_client.cpp, before: lines 233 to 239) called events_.on_data and then events_.on_ended; the core may destroy the attempt within the first. Exchange::on_readable went on after on_written in the same way (instance_pool.cpp, before: lines 197 to 200), which the core does not make use of.

Change: the data that comes with the end travels in AttemptResult::last_data. Request::on_ended passes it on first and drops the result if that data has ended the attempt, so that it is not taken for the next attempt's. The rule is written at AttemptEvents; DestructionWatch replaces the bare pointer of Exchange.

Tests: "Attempt: it may be destroyed within each of its callbacks ..." ends with heap-use-after-free in HttpAttempt::on_end without the change, and passes now; "Core: if the data that comes with an attempt's end fails it ...".

--- a/src/core/ports.hpp
+++ b/src/core/ports.hpp
@@ -136,6 +136,7 @@
   eiderarch::LoadReport report;
   bool ended_by_error_event = false;  // ended by an error event within the stream
   AnswerPtr answer;                   // set if the request was rejected
+  std::string last_data;              // of the answer, not passed to AttemptEvents::on_data before
   // This side closed the connection before the instance had answered completely or ended it. The instance may
   // go on with the request until it receives the close.
   bool closed_here = false;
@@ -148,13 +149,17 @@
   std::string address;
 };
 
-// Receives the events of one attempt.
+// Receives the events of one attempt. Each of these calls may destroy the attempt. So an attempt makes one
+// call for one event, as the last thing that it does, or checks afterwards that it still exists
+// (net::DestructionWatch).
 class AttemptEvents {
  public:
   virtual ~AttemptEvents() = default;
   // The last byte of the request has been written to the socket.
   virtual void on_written() = 0;
   virtual void on_data(std::string bytes) = 0;
+  // The end, with the data that came with it (`last_data`). If that data ends the attempt, its result counts
+  // no more.
   virtual void on_ended(AttemptResult result) = 0;
 };
 
@@ -186,8 +191,8 @@
 class Instances {
  public:
   virtual ~Instances() = default;
-  // `may_write` is called once the connection is established, before the first byte. The instance is sent the
-  // time left from that byte until `not_after`.
+  // `may_write` is called once the connection is established, before the first byte, and must not destroy the
+  // attempt. The instance is sent the time left from that byte until `not_after`.
   [[nodiscard]] virtual std::unique_ptr<Attempt> start(const Target& target, const PayloadPtr& payload,
                                                        Time not_after, ConnectionTerms terms,
                                                        std::function<bool()> may_write,
--- a/src/core/request.hpp
+++ b/src/core/request.hpp
@@ -74,7 +74,12 @@
 
   void on_written() override { inbox.push(RequestWritten{}); }
   void on_data(std::string bytes) override { inbox.push(AnswerData{std::move(bytes)}); }
-  void on_ended(AttemptResult end) override { inbox.push(std::move(end)); }
+  void on_ended(AttemptResult end) override {
+    const int ended_attempt = attempts;
+    if (!end.last_data.empty()) inbox.push(AnswerData{std::move(end.last_data)});
+    // The data may have ended the attempt, and the next one may have begun.
+    if (attempt != nullptr && attempts == ended_attempt) inbox.push(std::move(end));
+  }
 
   // The number of the last attempt as the module counts.
   [[nodiscard]] int attempt_number() const { return attempts - attempts_before - 1; }
--- a/src/net/instances/instance_client.cpp
+++ b/src/net/instances/instance_client.cpp
@@ -230,13 +230,13 @@
       // A non-streamed answer is forwarded only when it is known to be complete; until then it can be
       // retried.
       result.cached_tokens = cached_tokens_.value_or(0);
-      events_.on_data(std::move(body_));
+      result.last_data = std::move(body_);
     }
     // The client expects the closing [DONE], which some instances omit after a finish reason.
     if (result.verdict == Verdict::served && streamed_ && dialect_ == Dialect::openai && !scanner_.done()) {
-      events_.on_data("data: [DONE]\n\n");
+      result.last_data = "data: [DONE]\n\n";
     }
-    events_.on_ended(std::move(result));
+    events_.on_ended(std::move(result));  // last: it may destroy this object
   }
   // A stream where a JSON object was requested, or the reverse.
   [[nodiscard]] bool has_wrong_content_type() const {
--- a/src/net/instances/instance_pool.cpp
+++ b/src/net/instances/instance_pool.cpp
@@ -125,10 +125,7 @@
       this);
 }
 
-Exchange::~Exchange() {
-  if (destroyed_ != nullptr) *destroyed_ = true;
-  close();
-}
+Exchange::~Exchange() { close(); }
 
 Progress Exchange::progress() const {
   // The last byte may be written although its callback has not run yet.
@@ -182,7 +179,7 @@
 void Exchange::on_output_written() {
   if (progress_ != Progress::unwritten) return;
   progress_ = Progress::written;
-  events_.on_written();
+  events_.on_written();  // last: it may destroy this object
 }
 
 void Exchange::on_readable() {
@@ -206,16 +203,16 @@
   // The response came before the whole request was sent. The rest must not be read as the next request.
   const bool early = progress() <= Progress::unwritten;
   if (parser_.has_head() && progress_ < Progress::head) {
+    const DestructionWatch watch(destruction_);
     if (!early) on_output_written();
+    if (watch.destroyed()) return;
     progress_ = Progress::head;
   }
   if (!body.empty()) {
     progress_ = Progress::streaming;
-    bool destroyed = false;
-    destroyed_ = &destroyed;
+    const DestructionWatch watch(destruction_);
     events_.on_body(std::move(body));
-    if (destroyed) return;
-    destroyed_ = nullptr;
+    if (watch.destroyed()) return;
   }
   if (parser_.state() != ResponseParser::State::done) return;
   if (pool_.may_reuse(true) && parser_.keep_alive() && used == bytes.size() && !early) {
--- a/src/net/instances/instance_pool.hpp
+++ b/src/net/instances/instance_pool.hpp
@@ -10,6 +10,7 @@
 
 #include "config/address.hpp"
 #include "net/http/response_parser.hpp"
+#include "net/loop/destruction_watch.hpp"
 #include "net/loop/loop.hpp"
 
 namespace bankmux::net {
@@ -22,8 +23,9 @@
 
 class InstancePool;
 
-// One request and its response on one connection. Destroying it before its end closes the connection. No
-// event is raised from within the constructor, and none after `on_end`, during which it may be destroyed.
+// One request and its response on one connection. Destroying it before its end closes the connection, and is
+// allowed within each of its events but may_write. No event is raised from within the constructor, and none
+// after `on_end`.
 class Exchange {
  public:
   // Callbacks of an exchange. may_write() is asked once the connection is up; false ends the exchange before
@@ -85,7 +87,7 @@
   bool reused_ = false;
   bool response_started_ = false;  // some bytes of a response have arrived
   core::Progress progress_ = core::Progress::not_connected;
-  bool* destroyed_ = nullptr;  // set during an event whose handler may destroy this object
+  DestructionFlag destruction_;
 };
 
 class InstancePool {
--- a/tests/core_fixture.hpp
+++ b/tests/core_fixture.hpp
@@ -83,8 +83,9 @@
 
 class FakeReply : public ClientReply {
  public:
-  FakeReply(EventLog& log, int continuations, const bool& closed)
-      : log_(log), continuations_(continuations), closed_(closed) {}
+  FakeReply(EventLog& log, int continuations, const bool& closed, const bool& mismatched)
+      : log_(log), continuations_(continuations), closed_(closed), mismatched_(mismatched) {}
+  [[nodiscard]] bool continuation_mismatched() const override { return mismatched_; }
   [[nodiscard]] bool client_closed() const override { return closed_; }
   StreamContinuation continue_answer() override {
     if (continuations_-- <= 0) return {};
@@ -103,6 +104,7 @@
   EventLog& log_;
   int continuations_;  // so many times
   const bool& closed_;
+  const bool& mismatched_;
 };
 
 // A prompt whose prefill takes most of the target time, so that a reservation is requested ahead.
@@ -113,6 +115,7 @@
   FakeInstances instances;
   EventLog answers;
   bool client_closed = false;  // of all clients, as reported by the operating system
+  bool mismatched = false;     // whether the data that arrives now can't be joined to the answer
   std::unique_ptr<Conductor> conductor;
 
   explicit CoreFixture(std::size_t max_requests = 10, Duration discovery_delay = 0s) {
@@ -161,8 +164,9 @@
     client_request.facts.session = 7;
     client_request.facts.prompt_tokens = prompt;
     client_request.facts.deadline = time.now() + patience;
-    const RequestId id = conductor->accept(
-        std::move(client_request), std::make_unique<FakeReply>(answers, continuations, client_closed));
+    const RequestId id =
+        conductor->accept(std::move(client_request),
+                          std::make_unique<FakeReply>(answers, continuations, client_closed, mismatched));
     time.run_ready();
     return id;
   }
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -705,6 +705,32 @@
   CHECK(w.conductor->open_requests() == 0);
 }
 
+// Guards against the result of one attempt that is taken for the result of the next one.
+TEST_CASE(
+    "Core: if the data that comes with an attempt's end fails it, the end does not count for the next one") {
+  CoreFixture w;
+  w.list_instance("w", 2);
+  w.list_instance("x", 2);
+  w.send_request(0, 100, 5s, 1);
+  w.instances.finish_write();
+  w.instances.attempt->events.on_data("a");
+  w.time.run_ready();
+  w.mismatched = true;
+  AttemptResult result;
+  result.verdict = Verdict::served;
+  result.progress = Progress::ended;
+  result.last_data = "b";
+  w.instances.attempt->events.on_ended(std::move(result));
+  w.mismatched = false;
+  w.time.advance(50ms);
+  REQUIRE(w.instances.attempt != nullptr);  // the continuation is still going on
+  w.instances.finish_write();
+  w.instances.attempt->events.on_data("c");
+  w.instances.end_attempt(Verdict::served);
+  w.time.run_ready();
+  CHECK(w.answers == EventLog{"begin", "a", "b", "go on", "c", "end"});
+}
+
 TEST_CASE("Core: an answer continues only within the limit of attempts and never for an ajuste") {
   CoreFixture w;
   for (const char* id : {"a", "b", "c", "d", "e", "f"}) w.list_instance(id, 2);
--- a/tests/integration/delayed_loop_test.cpp
+++ b/tests/integration/delayed_loop_test.cpp
@@ -176,6 +176,83 @@
   CHECK(remaining >= 500ms);
 }
 
+namespace {
+
+enum class Callback { written, data, ended };
+
+// Destroys its attempt within one of its callbacks, and counts those that follow.
+struct DestroyingEvents : core::AttemptEvents {
+  DestroyingEvents(net::Loop& loop, Callback when) : loop(loop), when(when) {}
+  void on_written() override { called(Callback::written); }
+  void on_data(std::string) override { called(Callback::data); }
+  void on_ended(core::AttemptResult result) override {
+    last_data = std::move(result.last_data);
+    called(Callback::ended);
+  }
+  void called(Callback callback) {
+    if (destroyed) ++calls_after;
+    if (callback != when || destroyed) return;
+    destroyed = true;
+    attempt.reset();
+    stop = loop.at(loop.now() + 50ms, [this] { loop.stop(); });
+  }
+  net::Loop& loop;
+  Callback when;
+  std::unique_ptr<core::Attempt> attempt;
+  std::unique_ptr<core::Timer> stop;
+  std::string last_data;
+  bool destroyed = false;
+  int calls_after = 0;
+};
+
+}  // namespace
+
+// Guards against a use after free: the end of an answer used to be passed on in two calls, of which the first
+// could destroy the attempt. The sanitizers find it.
+TEST_CASE("Attempt: it may be destroyed within each of its callbacks, whatever the instance answers") {
+  const std::string finished =
+      "data: {\"choices\":[{\"delta\":{\"content\":\"x\"},\"finish_reason\":\"stop\"}]}\n\n";
+  struct Answer {
+    net::Dialect dialect;
+    bool streamed;
+    std::string bytes, last_data;
+  };
+  const Answer answers[] = {
+      {net::Dialect::openai, true, stream_head() + chunk(finished) + "0\r\n\r\n", "data: [DONE]\n\n"},
+      {net::Dialect::openai, true, event_stream({finished + "data: [DONE]\n\n"}), ""},
+      {net::Dialect::openai, false, plain_response("200 OK", "{}", "Content-Type: application/json\r\n"),
+       "{}"},
+      {net::Dialect::platform, true, event_stream({finished, "data: [DONE]\n\n"}), ""},
+      {net::Dialect::platform, true, plain_response("503 Service Unavailable", "", "X-Turned-Away: 1\r\n"),
+       ""}};
+  for (const Answer& answer : answers) {
+    for (const Callback when : {Callback::written, Callback::data, Callback::ended}) {
+      CAPTURE(answer.bytes, int(when));
+      ScriptedServer instance([&answer](TestConnection& wire) {
+        if (wire.receive()) wire.send(answer.bytes);
+        (void)wire.closed_within(1000);
+      });
+      net::Loop loop;
+      DestroyingEvents events(loop, when);
+      net::InstanceClient client(loop, {.connect_timeout = 2s}, answer.dialect);
+      auto payload = std::make_shared<core::Payload>();
+      payload->id = "a";
+      payload->method = "POST";
+      payload->target = "/v1/chat/completions";
+      payload->streamed = answer.streamed;
+      events.attempt = client.start(
+          {1, "w", instance.address()}, payload, loop.now() + 5s, kAnyConnection, [] { return true; },
+          events);
+      const auto limit = loop.at(loop.now() + 2s, [&] { loop.stop(); });
+      loop.run();
+      const bool has_data = answer.bytes.find("text/event-stream") != std::string::npos;
+      CHECK(events.destroyed == (when != Callback::data || has_data));
+      CHECK(events.calls_after == 0);
+      if (when == Callback::ended) CHECK(events.last_data == answer.last_data);
+    }
+  }
+}
+
 TEST_CASE("Server: a client's close is detected through the kernel before the loop has reported it") {
   net::Loop loop;
   const std::string address = unique_address();
