Carry on the wait for a silent stream when it is handed over

Cause: Conductor::follow_stream (src/core/shutdown.cpp, before: line 72) started the whole wait of 4 s anew; the message did not say how long the stream had been silent. Change: it does (`silence`), and the next process waits for the rest. Processes of the version before ignore the field, and a message without it counts as before.

Tests: "The wait for a silent stream goes on where it was ..." fails with the old wait (no end 4 s after the last event) and passes now; "An event after the handover ..."; the message's property test has the field and the form without it. 100 of 100 tests of the core, hand-over, upgrades, shutdown and crossings.

--- a/src/core/conductor.hpp
+++ b/src/core/conductor.hpp
@@ -40,6 +40,8 @@
   int attempts = 1;
   Duration age{0};    // since the request was accepted
   Duration first{0};  // from then until its first event
+  // For how long the next event has been awaited: since the last one, or since the client has caught up.
+  Duration silence{0};
   HandoverState client, instance;
 };
 
--- a/src/core/request.hpp
+++ b/src/core/request.hpp
@@ -66,6 +66,7 @@
   Time arrived{0};
   std::optional<Time> first;       // when its stream began
   std::optional<Time> last_event;  // of the current attempt; empty while the client holds it back
+  Time silent_since{0};            // when the wait for the next event of the stream began
   bool rate_tracked = false;       // the current attempt counts towards its instance's event rate
   std::vector<AttemptRecord> trail;
   RequestRecord::Result result = RequestRecord::Result::failed;
--- a/src/core/shutdown.cpp
+++ b/src/core/shutdown.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "core/conductor.hpp"
@@ -33,7 +34,7 @@
     if (!instance || member == nullptr) continue;
     const Time now = scheduler_.now();
     if (!take({r.client_request, member->target.id, r.attempts, now - r.arrived, *r.first - r.arrived,
-               std::move(*client), std::move(*instance)})) {
+               now - r.silent_since, std::move(*client), std::move(*instance)})) {
       continue;  // not accepted, or not now
     }
     r.reply->detach_after_handover();
@@ -53,6 +54,7 @@
   r.id = r.module_id = r.client_request.facts.id = ++last_id_;
   r.arrived = scheduler_.now() - stream.age;
   r.first = r.arrived + stream.first;
+  r.silent_since = scheduler_.now() - stream.silence;
   r.streaming = true;
   r.execution.assume_executed();
   r.attempts = stream.attempts;
@@ -69,7 +71,8 @@
 
 // Follows a stream that another process of this conductor began, from here to its end.
 Task Conductor::follow_stream(Request& r) {
-  start_stall_timer(r, settings_.stall_limit);
+  const Duration silence = scheduler_.now() - r.silent_since;
+  start_stall_timer(r, std::max(settings_.stall_limit - silence, Duration{0}));
   std::optional<AttemptEnd> end;
   while (!end) {
     RequestEvent event = co_await r.inbox.next();
--- a/src/core/stream.cpp
+++ b/src/core/stream.cpp
@@ -43,6 +43,7 @@
     }
   } else if (std::holds_alternative<ClientCaughtUp>(event)) {
     r.attempt->pause(false);
+    r.silent_since = scheduler_.now();
     start_stall_timer(r, settings_.stall_limit);
   } else if (std::holds_alternative<InstanceLost>(event)) {
     // A vanished machine sends no reset, so its stream would stay open forever.
@@ -119,7 +120,7 @@
 void Conductor::record_stream_event(Request& r) {
   const Time now = scheduler_.now();
   if (r.rate_tracked && r.last_event) failure_detector_.event(r.instance, now, now - *r.last_event);
-  r.last_event = now;
+  r.last_event = r.silent_since = now;
   start_stall_timer(r, watches_silence(r) ? failure_detector_.limit(r.instance) : settings_.stall_limit);
 }
 
--- a/src/operations/passed_stream.cpp
+++ b/src/operations/passed_stream.cpp
@@ -31,6 +31,7 @@
   explicit FieldReader(const json& object) : object_(object) {
     if (!object.is_object()) throw InvalidMessage{};
   }
+  [[nodiscard]] bool has(const char* name) const { return object_.contains(name); }
   [[nodiscard]] std::int64_t integer(const char* name, std::int64_t min, std::int64_t max) const {
     const json& value = member(name);
     if (!value.is_number_integer()) throw InvalidMessage{};
@@ -75,6 +76,7 @@
                  {"attempts", stream.attempts},
                  {"age", stream.age.count()},
                  {"first", stream.first.count()},
+                 {"silence", stream.silence.count()},
                  {"client", binary_value(stream.client.state)},
                  {"instance", binary_value(stream.instance.state)}},
                 message);
@@ -102,6 +104,8 @@
     stream.attempts = int(reader.integer("attempts", 1, kMaxAttempts));
     stream.age = core::Duration(reader.integer("age", 0, kMaxTimeUs));
     stream.first = core::Duration(reader.integer("first", 0, stream.age.count()));
+    // Processes before this field was added do not send it.
+    if (reader.has("silence")) stream.silence = core::Duration(reader.integer("silence", 0, kMaxTimeUs));
     stream.client.state = reader.binary("client");
     stream.instance.state = reader.binary("instance");
     return result;
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include "core/conductor.hpp"
 #include "fake_time.hpp"
@@ -28,6 +29,7 @@
   stream.attempts = *rc::gen::inRange(1, 9);
   stream.first = core::Duration(*rc::gen::inRange(0, 9'000'000));
   stream.age = stream.first + core::Duration(*rc::gen::inRange(0, 9'000'000));
+  stream.silence = core::Duration(*rc::gen::inRange(0, 9'000'000));
   stream.client.state = *rc::gen::arbitrary<std::string>();
   stream.instance.state = *rc::gen::arbitrary<std::string>();
   return stream;
@@ -49,6 +51,7 @@
     RC_ASSERT(back->stream.attempts == stream.attempts);
     RC_ASSERT(back->stream.age == stream.age);
     RC_ASSERT(back->stream.first == stream.first);
+    RC_ASSERT(back->stream.silence == stream.silence);
     RC_ASSERT(back->stream.client.state == stream.client.state);
     RC_ASSERT(back->stream.instance.state == stream.instance.state);
   }));
@@ -61,9 +64,20 @@
     if (const auto read = operations::decode_handover_message(message)) {
       RC_ASSERT(read->stream.attempts >= 1);
       RC_ASSERT(read->stream.first <= read->stream.age);
+      RC_ASSERT(read->stream.silence >= 0s);
       RC_ASSERT(read->name.find('/') == std::string::npos);
     }
   }));
+  // The message of an earlier version.
+  core::RunningStream stream;
+  stream.instance_id = "b";
+  nlohmann::json earlier = nlohmann::json::from_cbor(operations::encode("r-1", stream));
+  earlier.erase("silence");
+  std::string earlier_message;
+  nlohmann::json::to_cbor(earlier, earlier_message);
+  const auto from_earlier = operations::decode_handover_message(earlier_message);
+  REQUIRE(from_earlier.has_value());
+  CHECK(from_earlier->stream.silence == 0s);
   core::RunningStream large = {};
   large.instance_id = "b";
   large.client.state.assign(operations::kMaxMessageBytes, 'x');
@@ -303,6 +317,42 @@
   CHECK(second.results == std::vector{core::RequestRecord::Result::gone});
 }
 
+// Guards against a client that waits for a silent stream once in each of the processes that have it.
+TEST_CASE("The wait for a silent stream goes on where it was when the stream was handed over") {
+  Process first, second;
+  first.ask();
+  first.instances.current->events.on_written();
+  first.instances.current->events.on_data("a");
+  first.time.advance(1s);
+  first.time.delay_loop(1500ms);  // the process is held up before it hands the stream over
+  core::RunningStream passed;
+  CHECK(first.conductor->pass_streams([&passed](const core::RunningStream& stream) {
+    passed = stream;
+    return true;
+  }) == 1);
+  CHECK(passed.silence == 2500ms);
+  second.take_over(passed);
+  second.time.advance(1400ms);
+  CHECK(second.log.empty());
+  second.time.advance(100ms);  // 4 s after the last event
+  CHECK(second.log == Log{"close", "abort"});
+}
+
+TEST_CASE("An event after the handover starts the wait for the next one anew") {
+  Process first, second;
+  second.take_over(start_and_hand_over(first));
+  second.time.advance(1900ms);
+  second.instances.current->events.on_data("b");
+  second.time.advance(3900ms);
+  CHECK(second.log == Log{"b"});
+  core::RunningStream again;
+  CHECK(second.conductor->pass_streams([&again](const core::RunningStream& stream) {
+    again = stream;
+    return true;
+  }) == 1);
+  CHECK(again.silence == 3900ms);
+}
+
 TEST_CASE("If the attempt cannot be created in the second process, the client's stream breaks off once") {
   Process first, second;
   const core::RunningStream passed = start_and_hand_over(first);
