--- a/bench/silence_bench.cpp
+++ b/bench/silence_bench.cpp
@@ -8,7 +8,7 @@
 #include <random>
 #include <vector>
 
-#include "recovery/silence.hpp"
+#include "recovery/failure_detector.hpp"
 
 using namespace bankmux::recovery;
 using namespace std::chrono_literals;
--- a/src/admission/door.cpp
+++ b/src/admission/admission_control.cpp
@@ -1,4 +1,4 @@
-#include "admission/door.hpp"
+#include "admission/admission_control.hpp"
 
 #include <algorithm>
 #include <chrono>
--- a/src/app/wind_down.cpp
+++ b/src/app/process_lifecycle.cpp
@@ -1,4 +1,4 @@
-#include "app/wind_down.hpp"
+#include "app/process_lifecycle.hpp"
 
 #include <chrono>
 #include <csignal>
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -7,13 +7,13 @@
 #include <optional>
 #include <utility>
 
-#include "admission/door.hpp"
+#include "admission/admission_control.hpp"
 #include "app/cpu_watch.hpp"
 #include "app/fleet_coordination.hpp"
 #include "app/operations.hpp"
+#include "app/process_lifecycle.hpp"
 #include "app/request_log.hpp"
 #include "app/stream_handover.hpp"
-#include "app/wind_down.hpp"
 #include "core/conductor.hpp"
 #include "log/log.hpp"
 #include "net/appliance/agent_check.hpp"
--- a/src/core/conductor.hpp
+++ b/src/core/conductor.hpp
@@ -18,7 +18,7 @@
 #include "core/request_record.hpp"
 #include "core/task.hpp"
 #include "eiderarch/router.hpp"
-#include "recovery/silence.hpp"
+#include "recovery/failure_detector.hpp"
 
 namespace bankmux::core {
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,8 +5,8 @@
 #include "app/console.hpp"
 #include "app/key_command.hpp"
 #include "app/page_commands.hpp"
+#include "app/process_lifecycle.hpp"
 #include "app/serve.hpp"
-#include "app/wind_down.hpp"
 #include "config/config.hpp"
 #include "config/schema.hpp"
 
--- a/src/net/appliance/operator_page.hpp
+++ b/src/net/appliance/operator_page.hpp
@@ -9,7 +9,7 @@
 #include <optional>
 #include <string>
 
-#include "admission/door.hpp"
+#include "admission/admission_control.hpp"
 #include "config/appliance.hpp"
 #include "core/conductor.hpp"
 #include "net/appliance/agent_check.hpp"
--- a/src/net/handover/stream_socket.hpp
+++ b/src/net/handover/stream_socket.hpp
@@ -9,7 +9,7 @@
 #include <string>
 
 #include "net/loop/loop.hpp"
-#include "operations/passed_stream.hpp"
+#include "operations/handover_message.hpp"
 
 namespace bankmux::net {
 
--- a/src/net/openai/door_answers.cpp
+++ b/src/net/openai/admission_replies.cpp
@@ -1,4 +1,4 @@
-#include "net/openai/door_answers.hpp"
+#include "net/openai/admission_replies.hpp"
 
 #include <algorithm>
 #include <cstdio>
--- a/src/net/openai/door_answers.hpp
+++ b/src/net/openai/admission_replies.hpp
@@ -3,7 +3,7 @@
 
 #include <string>
 
-#include "admission/door.hpp"
+#include "admission/admission_control.hpp"
 #include "net/openai/error_replies.hpp"
 
 namespace bankmux::net::openai {
--- a/src/net/openai/front.cpp
+++ b/src/net/openai/front.cpp
@@ -11,7 +11,7 @@
 #include "log/log.hpp"
 #include "net/http/content_coding.hpp"
 #include "net/http/payload.hpp"
-#include "net/openai/door_answers.hpp"
+#include "net/openai/admission_replies.hpp"
 #include "net/openai/error_replies.hpp"
 #include "net/openai/facts.hpp"
 #include "net/openai/json_reader.hpp"
--- a/src/net/openai/front.hpp
+++ b/src/net/openai/front.hpp
@@ -6,7 +6,7 @@
 #include <optional>
 #include <string>
 
-#include "admission/door.hpp"
+#include "admission/admission_control.hpp"
 #include "config/appliance.hpp"
 #include "core/conductor.hpp"
 #include "net/http/http_server.hpp"
--- a/src/net/openai/reply.hpp
+++ b/src/net/openai/reply.hpp
@@ -5,8 +5,8 @@
 #include <string>
 
 #include "net/http/http_reply.hpp"
-#include "net/openai/admitted.hpp"
 #include "net/openai/answer_writer.hpp"
+#include "net/openai/request_account.hpp"
 #include "recovery/recovery.hpp"
 
 namespace bankmux::net::openai {
--- a/src/net/openai/admitted.cpp
+++ b/src/net/openai/request_account.cpp
@@ -1,4 +1,4 @@
-#include "net/openai/admitted.hpp"
+#include "net/openai/request_account.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/net/openai/admitted.hpp
+++ b/src/net/openai/request_account.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <string_view>
 
-#include "admission/door.hpp"
+#include "admission/admission_control.hpp"
 #include "core/ports.hpp"
 
 namespace bankmux::net::openai {
--- a/src/operations/passed_stream.cpp
+++ b/src/operations/handover_message.cpp
@@ -1,4 +1,4 @@
-#include "operations/passed_stream.hpp"
+#include "operations/handover_message.hpp"
 
 #include <algorithm>
 #include <cctype>
--- a/src/recovery/seam.cpp
+++ b/src/recovery/continuation_splicer.cpp
@@ -1,4 +1,4 @@
-#include "recovery/seam.hpp"
+#include "recovery/continuation_splicer.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/recovery/silence.cpp
+++ b/src/recovery/failure_detector.cpp
@@ -1,4 +1,4 @@
-#include "recovery/silence.hpp"
+#include "recovery/failure_detector.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/recovery/recovery.hpp
+++ b/src/recovery/recovery.hpp
@@ -9,7 +9,7 @@
 #include <string>
 #include <string_view>
 
-#include "recovery/seam.hpp"
+#include "recovery/continuation_splicer.hpp"
 #include "sse/event_splitter.hpp"
 
 namespace bankmux::recovery {
--- a/tests/door_test.cpp
+++ b/tests/admission_control_test.cpp
@@ -1,6 +1,6 @@
 // Admission control as a whole: API keys, rate limits, tenant shares and the ledger together, without
 // sockets.
-#include "admission/door.hpp"
+#include "admission/admission_control.hpp"
 
 #include <rapidcheck.h>
 #include <sys/stat.h>
@@ -12,9 +12,9 @@
 #include "admission/share.hpp"
 #include "config/appliance.hpp"
 #include "config/keys_file.hpp"
-#include "net/openai/admitted.hpp"
-#include "net/openai/door_answers.hpp"
+#include "net/openai/admission_replies.hpp"
 #include "net/openai/errors.hpp"
+#include "net/openai/request_account.hpp"
 
 using namespace bankmux;
 using namespace bankmux::admission;
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -11,7 +11,7 @@
 #include "net/http/http_server.hpp"
 #include "net/http/payload.hpp"
 #include "net/http/response_parser.hpp"
-#include "operations/passed_stream.hpp"
+#include "operations/handover_message.hpp"
 #include "sse/stream_scanner.hpp"
 
 using namespace bankmux;
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -6,7 +6,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "recovery/silence.hpp"
+#include "recovery/failure_detector.hpp"
 
 using namespace bankmux::recovery;
 using nlohmann::json;
@@ -16,11 +16,11 @@
 // All that the splicer releases of a text that arrives in pieces; nullopt if it fails.
 std::optional<std::string> splice_all(const std::string& written, const std::vector<std::string>& pieces,
                                       std::vector<std::string> stops = {}) {
-  ContinuationSplicer seam(written, std::move(stops));
+  ContinuationSplicer splicer(written, std::move(stops));
   std::string out;
-  for (const std::string& piece : pieces) out += seam.feed(piece);
-  out += seam.finish();
-  if (seam.state() == ContinuationSplicer::State::failed) return std::nullopt;
+  for (const std::string& piece : pieces) out += splicer.feed(piece);
+  out += splicer.finish();
+  if (splicer.state() == ContinuationSplicer::State::failed) return std::nullopt;
   return out;
 }
 
@@ -83,9 +83,9 @@
 }
 
 TEST_CASE("Splicer: a stop string that spans the join ends the answer") {
-  ContinuationSplicer seam("some text\nEN", {"END"});
-  CHECK(seam.feed("D and more").empty());
-  CHECK(seam.state() == ContinuationSplicer::State::stopped);
+  ContinuationSplicer splicer("some text\nEN", {"END"});
+  CHECK(splicer.feed("D and more").empty());
+  CHECK(splicer.state() == ContinuationSplicer::State::stopped);
   CHECK(splice_all("some text\nEN", {"T", "ER"}, {"END"}) == "TER");
   CHECK(splice_all("some text\nE", {"N", "T"}, {"END"}) == "NT");
 }
