Review case 9: an ajuste runs twice over a power cut, on the appliance's word

Done: a case in which the appliance is killed in the middle of an ajuste and started again; the client repeats it once with the same Idempotency-Key, as the answer's head said it may.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,6 +3,6 @@
 here=$(cd "$(dirname "$0")" && pwd)
 ROOT=$(cd "$here/../.." && pwd)
 export ROOT
-program=$ROOT/build/review-2/pipelined
+program=$ROOT/build/review-2/power_cut
 [ -x "$program" ] && [ -x "$ROOT/build/bankmux" ] || exit 2
 exec timeout -k 2 118 "$program" "$here/record.txt"
