--- a/review/common-2/rig.cpp
+++ b/review/common-2/rig.cpp
@@ -620,12 +620,12 @@
 
 std::string write_config(const std::string& folder, const std::string& name, const std::string& listen,
                          const std::string& discovery, const std::vector<Listed>& known, const json& settings,
-                         const std::string& mgmt, int sockets) {
+                         const std::string& mgmt, int sockets, int memory_mb) {
   json config = {{"name", name},
                  {"listen", listen},
                  {"discovery", discovery},
                  {"seed", "8c1f30d27a5be964"},
-                 {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", sockets}}},
+                 {"limits", {{"cores", 1.0}, {"memory_mb", memory_mb}, {"sockets", sockets}}},
                  {"known", Discovery::message(1, true, known)},
                  {"settings", settings}};
   if (!mgmt.empty()) config["mgmt"] = mgmt;
--- a/review/common-2/rig.hpp
+++ b/review/common-2/rig.hpp
@@ -226,6 +226,7 @@
   Program(const Program&) = delete;
   Program& operator=(const Program&) = delete;
   void signal(int number) const;
+  [[nodiscard]] int pid() const { return pid_; }
   // The exit code, or minus the signal; empty if it still runs.
   std::optional<int> ended(double wait_ms);
 
@@ -238,7 +239,7 @@
 // Writes a configuration file of a conductor and returns its path.
 std::string write_config(const std::string& folder, const std::string& name, const std::string& listen,
                          const std::string& discovery, const std::vector<Listed>& known, const json& settings,
-                         const std::string& mgmt = "", int sockets = 1024);
+                         const std::string& mgmt = "", int sockets = 1024, int memory_mb = 192);
 // GET of a page; the status, or 0.
 int get_status(const std::string& address, const std::string& path);
 bool wait_ready(const std::string& address, double time_ms);
