Bound the memory that heads and waiting input can take over all connections

Ruled out: the growth of libevent's buffers (they are drained as they come) and of the heap's free memory (MALLOC_MMAP_THRESHOLD_ and MALLOC_TRIM_THRESHOLD_ change 46 MB to 40 at most).

Cause: MessageParser::parse_header_line keeps each field as two strings (64 bytes for a line of 6) without a limit on their number; HttpConnection::on_readable counted bodies alone towards the one limit over all connections; send_error kept head and body until the connection had gone. `body_ = {}` keeps a string's memory, and so does assigning a new parser.

Change: 128 header fields at most (431). ServerLimits::held_bytes counts heads, bodies and input behind open requests; above it the largest holder pays, so that a small request is served beside large ones. A refused request is freed at once.

An appliance's max_body_mib of a fifth of its memory still fits beside its own head.

--- a/src/app/operations.cpp
+++ b/src/app/operations.cpp
@@ -14,7 +14,7 @@
 // Metrics requests and commands arrive every second or two. An idle connection keeps its slot until another
 // connection needs it.
 constexpr std::size_t kMaxConnections = 24;
-constexpr std::size_t kMaxBodyBytes = 256 * 1024;  // of all connections together; no command has a body
+constexpr std::size_t kMaxHeldBytes = 256 * 1024;  // of all connections together; no command has a body
 constexpr core::Duration kPollInterval = 100ms;  // upper bound until a change by another process takes effect
 // The platform's front layer keeps sending for 0.2 s after a negative readiness answer, and clients keep
 // sending for as long as their connections are open.
@@ -36,7 +36,7 @@
              [this](const std::string& id, bool out_of_rotation) { return maintain(id, out_of_rotation); }}),
       server_(loop, config.mgmt,
               [this](std::unique_ptr<net::IncomingRequest> incoming) { page_.handle(std::move(incoming)); },
-              {.connections = kMaxConnections, .body_bytes = kMaxBodyBytes, .single_error_status = true}) {
+              {.connections = kMaxConnections, .held_bytes = kMaxHeldBytes, .single_error_status = true}) {
   server_.close_after_responses();  // one call per connection
   load_file();
   poll();
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -70,7 +70,7 @@
     requests = std::min({sockets / 3, instances, clients.connections});
     // Up to three copies of a body exist for a moment: the one read, the one kept for the next attempt and
     // the one being sent.
-    clients.body_bytes = memory_mb * 1024 * 1024 / 5;
+    clients.held_bytes = memory_mb * 1024 * 1024 / 5;
   }
 };
 
@@ -100,6 +100,8 @@
 // 413 only after sending all of it, so that the rest is read and discarded.
 net::ServerLimits chat_limits(net::ServerLimits limits, const config::Appliance& appliance) {
   limits.max_body_bytes = appliance.max_body_bytes;
+  limits.held_bytes =
+      std::max(limits.held_bytes, appliance.max_body_bytes + net::RequestParser::kMaxHeldHeadBytes);
   limits.min_upload_bytes_per_s = kMinUploadRate;
   limits.max_discarded_bytes = kDiscardedBodies * appliance.max_body_bytes;
   limits.discard_time = kDiscardTime;
--- a/src/net/http/http_connection.cpp
+++ b/src/net/http/http_connection.cpp
@@ -118,7 +118,7 @@
 }
 
 HttpConnection::~HttpConnection() {
-  release_body_bytes(counted_body_bytes_);
+  set_held_bytes(0, 0);
   if (incoming_ != nullptr) incoming_->on_connection_lost();
 }
 
@@ -134,7 +134,7 @@
       return age(now) >= kRequestTimeout && has_no_unread_input();
     case Phase::reading: {
       const std::size_t rate = server_.limits_.min_upload_bytes_per_s;
-      const auto more = rate > 0 ? core::Duration(counted_body_bytes_ * 1'000'000 / rate) : core::Duration{0};
+      const auto more = rate > 0 ? core::Duration(body_.size() * 1'000'000 / rate) : core::Duration{0};
       return age(now) >= kRequestTimeout + more;
     }
     case Phase::idle:
@@ -204,12 +204,10 @@
   // watermark, reading would stop and the client's close would go unnoticed behind the buffered bytes. They
   // are therefore dropped, and the connection closes after this response.
   if (phase_ == Phase::answering) {
-    if (evbuffer_get_length(input) < kMaxReadAheadBytes) return;
-    close_after_response_ = true;
-    discarded_bytes_ += evbuffer_get_length(input);
-    evbuffer_drain(input, evbuffer_get_length(input));
-    if (discarded_bytes_ > server_.limits_.max_discarded_bytes) server_.close(*this);
-    return;
+    set_held_bytes(request_bytes_, buffered_input());
+    if (buffered_input() >= kMaxReadAheadBytes) drop_input();
+    if (discarded_bytes_ > server_.limits_.max_discarded_bytes) return server_.close(*this);
+    return server_.limit_held_bytes();
   }
   if (evbuffer_get_length(input) == 0) return;
   if (phase_ == Phase::idle) enter_phase(Phase::reading);
@@ -220,10 +218,10 @@
   const std::size_t used = parser_.feed_limited({bytes, size}, body_);
   evbuffer_drain(input, used);
   if (parser_.state() == MessageParser::State::bad) return send_error(parser_.error_status());
-  // Bounds memory: all request bodies together, from their first byte until the request is answered.
-  server_.body_bytes_ += body_.size() - counted_body_bytes_;
-  counted_body_bytes_ = body_.size();
-  if (server_.body_bytes_ > server_.limits_.body_bytes) return send_error(503, {{"Retry-After", "1"}});
+  // Bounds memory: all requests together, from their first byte until they are answered.
+  set_held_bytes(parser_.held_bytes() + body_.size(), buffered_input());
+  server_.limit_held_bytes();
+  if (phase_ != Phase::reading) return;
   if (parser_.state() == MessageParser::State::done) return dispatch_request();
   if (!had_head && parser_.state() == MessageParser::State::body && parser_.expects_continue()) {
     // Without 100 Continue, the client receives its response before sending the body.
@@ -242,11 +240,35 @@
       std::exchange(body_, {})));
 }
 
+std::size_t HttpConnection::buffered_input() const {
+  return evbuffer_get_length(bufferevent_get_input(stream_.get()));
+}
+
+std::size_t HttpConnection::sheddable_bytes() const {
+  if (phase_ == Phase::reading) return request_bytes_ + input_bytes_;
+  return phase_ == Phase::answering ? input_bytes_ : 0;
+}
+
+void HttpConnection::shed_input() {
+  if (phase_ == Phase::reading) return send_error(503, {{"Retry-After", "1"}});
+  drop_input();
+}
+
+void HttpConnection::drop_input() {
+  close_after_response_ = true;
+  discarded_bytes_ += buffered_input();
+  evbuffer_drain(bufferevent_get_input(stream_.get()), buffered_input());
+  set_held_bytes(request_bytes_, 0);
+}
+
 // Answers a request that is not passed to the handler, with an error of the server.
 void HttpConnection::send_error(int status, Headers more) {
   phase_ = Phase::answering;
   close_after_response_ = true;
-  body_ = {};
+  const bool omit_body = parser_.method() == "HEAD";
+  // Assigning empty strings would keep the memory of the old ones until the connection ends.
+  static_cast<void>(std::exchange(parser_, RequestParser(server_.limits_.max_body_bytes)));
+  static_cast<void>(std::exchange(body_, {}));
   if (server_.limits_.single_error_status && status != 503) status = 400;
   std::string text = std::string(reason_phrase(status)) + "\n";
   if (server_.hooks_.error) {
@@ -255,7 +277,7 @@
     more.insert(more.end(), headers.begin(), headers.end());
   }
   write_head(status, more, "Content-Length: " + std::to_string(text.size()) + "\r\n");
-  if (parser_.method() != "HEAD") write(text);
+  if (!omit_body) write(text);
   response_complete();
 }
 
@@ -271,7 +293,7 @@
 }
 
 void HttpConnection::response_complete() {
-  release_body_bytes(counted_body_bytes_);
+  set_held_bytes(0, buffered_input());
   // A stream that began before the shutdown has no `Connection: close` in its head. If its connection were
   // kept, the client could send a request for which there is no time left.
   if (close_after_response_ || server_.closing_after_responses_) return start_closing();
@@ -283,9 +305,11 @@
   }
 }
 
-void HttpConnection::release_body_bytes(std::size_t bytes) {
-  server_.body_bytes_ -= bytes;
-  counted_body_bytes_ -= bytes;
+void HttpConnection::set_held_bytes(std::size_t request, std::size_t input) {
+  server_.held_bytes_ += request + input;
+  server_.held_bytes_ -= request_bytes_ + input_bytes_;
+  request_bytes_ = request;
+  input_bytes_ = input;
 }
 
 // After all output is written, shuts down this side and waits briefly for the client's close. Closing a
@@ -298,8 +322,8 @@
     if (!reset_on_close_) shutdown(bufferevent_getfd(stream_.get()), SHUT_WR);
     bufferevent_trigger(stream_.get(), EV_WRITE, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
   }
-  evbuffer* input = bufferevent_get_input(stream_.get());
-  evbuffer_drain(input, evbuffer_get_length(input));
+  evbuffer_drain(bufferevent_get_input(stream_.get()), buffered_input());
+  set_held_bytes(request_bytes_, 0);
 }
 
 void HttpConnection::on_output_drained() {
@@ -343,9 +367,8 @@
 
 bool IncomingRequest::reserve_bytes(std::size_t bytes) {
   HttpServer& server = connection_->server_;
-  if (server.body_bytes_ + bytes > server.limits_.body_bytes) return false;
-  server.body_bytes_ += bytes;
-  connection_->counted_body_bytes_ += bytes;
+  if (server.held_bytes_ + bytes > server.limits_.held_bytes) return false;
+  connection_->set_held_bytes(connection_->request_bytes_ + bytes, connection_->input_bytes_);
   return true;
 }
 
--- a/src/net/http/http_connection.hpp
+++ b/src/net/http/http_connection.hpp
@@ -37,6 +37,11 @@
   // How long ago the kernel received the last input; zero if it does not tell. Input waits there unread while
   // the loop is delayed.
   [[nodiscard]] core::Duration input_age() const;
+  // Bytes held here that no handler has been given: part of a request, or input behind an open one.
+  [[nodiscard]] std::size_t sheddable_bytes() const;
+  // Frees these bytes: a request that is being read is refused, and input behind an open one is dropped,
+  // after whose answer the connection closes.
+  void shed_input();
   // Continues a response stream of another process; `unsent` is output that the client has not been sent yet.
   void resume_stream(bool chunked, bool last, std::string_view unsent);
 
@@ -53,13 +58,18 @@
   void response_complete();
   void start_closing();
   void enter_phase(Phase phase);
-  void release_body_bytes(std::size_t bytes);
+  // Updates what this connection holds and the server's total.
+  void set_held_bytes(std::size_t request, std::size_t input);
+  [[nodiscard]] std::size_t buffered_input() const;
+  void drop_input();
 
   HttpServer& server_;
   BufferEventPtr stream_;
   RequestParser parser_;
   std::string body_;
-  std::size_t counted_body_bytes_ = 0;  // body bytes included in HttpServer::body_bytes_
+  // Included in HttpServer::held_bytes_: the head and body of the current request with what it has reserved,
+  // and the buffered input behind it.
+  std::size_t request_bytes_ = 0, input_bytes_ = 0;
   IncomingRequest* incoming_ = nullptr;
   Phase phase_ = Phase::silent;
   core::Time phase_start_;  // start of the phase; for the first request, reading counts from accept
--- a/src/net/http/http_server.cpp
+++ b/src/net/http/http_server.cpp
@@ -98,6 +98,19 @@
   return candidate != nullptr;
 }
 
+// Spares small requests: the largest holder pays, whichever connection has exceeded the limit.
+void HttpServer::limit_held_bytes() {
+  while (held_bytes_ > limits_.held_bytes) {
+    HttpConnection* largest = nullptr;
+    for (const auto& [connection, owner] : connections_) {
+      if (largest == nullptr || connection->sheddable_bytes() > largest->sheddable_bytes())
+        largest = connection;
+    }
+    if (largest == nullptr || largest->sheddable_bytes() == 0) return;
+    largest->shed_input();
+  }
+}
+
 // Times out connections whose phase has lasted too long, and re-enables the listener when there is room.
 void HttpServer::sweep() {
   const core::Time now = loop_.now();
--- a/src/net/http/http_server.hpp
+++ b/src/net/http/http_server.hpp
@@ -84,8 +84,10 @@
 
 // Limits on the resources that clients can use.
 struct ServerLimits {
-  std::size_t connections = 300;                              // open at once
-  std::size_t body_bytes = 32 * 1024 * 1024;                  // total of all request bodies held at once
+  std::size_t connections = 300;  // open at once
+  // Total that all connections hold at once: heads and bodies of requests, and input that waits for an
+  // answer.
+  std::size_t held_bytes = 32 * 1024 * 1024;
   std::size_t max_body_bytes = RequestParser::kMaxBodyBytes;  // bytes of a single request body
   // Minimum upload rate, in bytes per second, that earns a body more than the usual request time; 0: no extra
   // time.
@@ -149,6 +151,8 @@
   }
   [[nodiscard]] std::string count_by_phase() const;  // number of connections in each phase, for the log
   bool evict_connection();
+  // Above the limit of held bytes, takes input from the connections that hold the most of it.
+  void limit_held_bytes();
   void sweep();
   void close(HttpConnection& connection);
 
@@ -159,7 +163,7 @@
   std::unique_ptr<ev_token_bucket_cfg, Deleter<ev_token_bucket_cfg_free>> discard_rate_;
   bool own_socket_;
   bool closing_after_responses_ = false;
-  std::size_t body_bytes_ = 0;
+  std::size_t held_bytes_ = 0;                                              // see ServerLimits::held_bytes
   std::map<HttpConnection*, std::unique_ptr<HttpConnection>> connections_;  // all connections, from accept on
   ListenerPtr listener_;
   std::unique_ptr<core::Timer> sweep_timer_;
--- a/src/net/http/message_parser.cpp
+++ b/src/net/http/message_parser.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-constexpr std::size_t kMaxLineBytes = 16 * 1024;
-
 std::string_view trim(std::string_view text) {
   while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) text.remove_prefix(1);
   while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) text.remove_suffix(1);
@@ -129,6 +127,10 @@
   const std::string_view name = text.substr(0, colon);
   const std::string_view value = trim(text.substr(colon + 1));
   if (!std::ranges::all_of(name, is_token_char) || std::ranges::any_of(value, is_control)) return fail();
+  if (headers_.size() == limits_.fields) {
+    too_large_ = true;
+    return fail();
+  }
   headers_.emplace_back(name, value);
 }
 
--- a/src/net/http/message_parser.hpp
+++ b/src/net/http/message_parser.hpp
@@ -1,6 +1,7 @@
 // Incremental HTTP/1.1 message parser: start line, headers, then a body framed by length, by chunks or by the
 // end of the connection. Strict, because parsers that disagree on the end of a message allow request
-// smuggling: ambiguous input is rejected, and memory use is bounded by the limits.
+// smuggling: ambiguous input is rejected. Memory use is bounded by the limits: of bytes, and of header
+// fields, since a short field takes many times its length.
 #pragma once
 
 #include <cstdint>
@@ -14,6 +15,10 @@
 
 using Headers = std::vector<std::pair<std::string, std::string>>;
 
+// Header fields that one message may have; real ones have a few dozen.
+constexpr std::size_t kMaxHeaderFields = 128;
+constexpr std::size_t kMaxLineBytes = 16 * 1024;
+
 class MessageParser {
  public:
   enum class State { head, body, done, bad };
@@ -31,6 +36,10 @@
   // Value of the first header with this name (case-insensitive); empty if there is none.
   [[nodiscard]] std::string_view header(std::string_view name) const;
   [[nodiscard]] const Headers& headers() const { return headers_; }
+  // Memory in bytes that the head and an incomplete line take: their text, and the list of header fields.
+  [[nodiscard]] std::size_t held_bytes() const {
+    return head_bytes_ + line_.size() + headers_.size() * sizeof(Headers::value_type);
+  }
 
   // Position within a chunked body: what another process needs to continue parsing.
   struct BodyPosition {
@@ -45,6 +54,7 @@
  protected:
   struct Limits {
     std::size_t head;      // all bytes before the body, including interim responses
+    std::size_t fields;    // header fields of one head
     std::uint64_t chunk;   // size of a single chunk
     std::uint64_t length;  // Content-Length
   };
--- a/src/net/http/request_parser.cpp
+++ b/src/net/http/request_parser.cpp
@@ -8,6 +8,8 @@
 
 constexpr std::size_t kMaxHeadBytes = 32 * 1024;
 constexpr std::size_t kMaxMethodLength = 8;
+static_assert(kMaxHeadBytes + kMaxLineBytes + kMaxHeaderFields * sizeof(Headers::value_type) <=
+              RequestParser::kMaxHeldHeadBytes);
 
 bool known_method(std::string_view word) {
   constexpr std::string_view kMethods[] = {"GET", "POST", "PUT", "DELETE", "HEAD", "PATCH", "OPTIONS"};
@@ -17,7 +19,7 @@
 }  // namespace
 
 RequestParser::RequestParser(std::size_t max_body)
-    : MessageParser({kMaxHeadBytes, max_body, max_body}), max_body_(max_body) {}
+    : MessageParser({kMaxHeadBytes, kMaxHeaderFields, max_body, max_body}), max_body_(max_body) {}
 
 bool RequestParser::expects_continue() const {
   return !http_1_0_ && same_name(header("Expect"), "100-continue");
--- a/src/net/http/request_parser.hpp
+++ b/src/net/http/request_parser.hpp
@@ -8,6 +8,8 @@
 class RequestParser : public MessageParser {
  public:
   static constexpr std::size_t kMaxBodyBytes = 256 * 1024;
+  // Upper bound of held_bytes().
+  static constexpr std::size_t kMaxHeldHeadBytes = 64 * 1024;
 
   // `max_body`: upper bound of the body in bytes, whether stated by Content-Length or received in chunks.
   explicit RequestParser(std::size_t max_body = kMaxBodyBytes);
--- a/src/net/http/response_parser.cpp
+++ b/src/net/http/response_parser.cpp
@@ -14,7 +14,8 @@
 
 }  // namespace
 
-ResponseParser::ResponseParser() : MessageParser({kMaxHeadBytes, kMaxChunkBytes, kMaxContentLength}) {}
+ResponseParser::ResponseParser()
+    : MessageParser({kMaxHeadBytes, kMaxHeaderFields, kMaxChunkBytes, kMaxContentLength}) {}
 
 bool ResponseParser::finish_at_close() {
   if (reads_until_close()) state_ = State::done;
--- a/tests/wire_parsers_test.cpp
+++ b/tests/wire_parsers_test.cpp
@@ -104,6 +104,19 @@
   CHECK(body == "abc");
 }
 
+// Guards against heads that take many times their length: each field is two strings.
+TEST_CASE("A head with more fields than the limit is rejected at its first field too many") {
+  std::string head = "GET / HTTP/1.1\r\n", body;
+  for (std::size_t i = 0; i < net::kMaxHeaderFields; ++i) head += "a: 1\r\n";
+  net::RequestParser largest, too_large;
+  largest.feed_limited(head + "\r\n", body);
+  CHECK(largest.state() == net::RequestParser::State::done);
+  CHECK(largest.held_bytes() <= head.size() + 2 + net::kMaxHeaderFields * sizeof(net::Headers::value_type));
+  too_large.feed_limited(head + "a: 1\r\n", body);
+  CHECK(too_large.state() == net::RequestParser::State::bad);
+  CHECK(too_large.error_status() == 431);
+}
+
 TEST_CASE("A stream is scanned across the boundaries of its pieces") {
   sse::StreamScanner scanner;
   const std::string text =
