Do not continue a stream with output beside its text

The client got the first words of a refusal twice, as one whole answer.

Cause: read_events (src/recovery/recovery.cpp) took text from `content` and `text` alone, so that a refusal counted as nothing written, and instance_lost asked the other box from the start. splice passed on whatever fields the second box sent. Ruled out: the splicer; it got no text to compare.

Change: any text, list or object in a delta beside role and content, content in parts, and events that are no JSON make the stream end as stream_broken. Output of the second box in another form than the text so far fails the stream, too.

Tests: with the first check taken out three tests fail, one of them over sockets; with the second, one.

--- a/src/recovery/continuation_splicer.hpp
+++ b/src/recovery/continuation_splicer.hpp
@@ -26,6 +26,8 @@
   std::string feed(std::string_view text);
   // The text is complete: returns what was withheld, if it can be joined.
   std::string finish();
+  // The second instance's output cannot be joined for a reason outside its text.
+  void reject(const char* reason) { (void)fail(reason); }
   [[nodiscard]] State state() const { return state_; }
   // Why it failed, for the log.
   [[nodiscard]] const char* reason() const { return reason_; }
--- a/src/recovery/recovery.cpp
+++ b/src/recovery/recovery.cpp
@@ -33,6 +33,28 @@
   return text != nullptr && text->is_string() ? text->get_ptr<const std::string*>() : nullptr;
 }
 
+// Whether a field of a delta holds output in a form that no request can hand to another instance. Numbers and
+// flags are no output.
+bool is_other_output(std::string_view name, const json& value) {
+  if (name == "role" || name == "tool_calls" || name == "function_call") return false;
+  if (value.is_string()) return name != "content" && !value.get_ref<const std::string&>().empty();
+  return value.is_structured() && !value.empty();
+}
+
+bool has_other_output(const json& choice, AnswerFormat format) {
+  if (format == AnswerFormat::completion) {
+    const json* text = member(choice, "text");
+    return text != nullptr && !text->is_string();
+  }
+  const json* delta = member(choice, "delta");
+  if (delta == nullptr) return false;
+  if (!delta->is_object()) return true;
+  for (const auto& [name, value] : delta->items()) {
+    if (is_other_output(name, value)) return true;
+  }
+  return false;
+}
+
 bool is_error_event(std::string_view event) {
   if (event.find("error") == std::string_view::npos) return false;
   if (event.starts_with("event: error") || event.find("\nevent: error") != std::string_view::npos)
@@ -58,6 +80,7 @@
   if (const json* n = member(body, "n"); n != nullptr && *n != 1) return "n is above 1";
   if (written.other_choices) return "it has more than one choice";
   if (written.tool_calls) return "a tool call has begun";
+  if (written.other_output) return "it has output beside its text";
   if (const json* logprobs = member(body, "logprobs"); logprobs != nullptr && *logprobs != false)
     return "logprobs";
   if (member(body, "seed") != nullptr) return "a seed promises the same answer";
@@ -79,8 +102,12 @@
   std::int64_t text_events = 0;
   sse::EventSplitter splitter(kNoEventLimit);
   splitter.feed(events, [&](std::string_view event) {
-    const json value = json::parse(sse::event_data(event), nullptr, false);
-    if (!value.is_object()) return;
+    const std::string data = sse::event_data(event);
+    const json value = json::parse(data, nullptr, false);
+    if (!value.is_object()) {
+      written.other_output |= !data.empty() && data != "[DONE]";
+      return;
+    }
     for (const char* name : kCommonFields) {
       if (value.contains(name)) written.common_fields[name] = value[name];
     }
@@ -99,6 +126,7 @@
         written.tool_calls |=
             member(*delta, "tool_calls") != nullptr || member(*delta, "function_call") != nullptr;
       }
+      written.other_output |= has_other_output(choice, format);
       written.finished |= member(choice, "finish_reason") != nullptr;
     }
   });
@@ -184,6 +212,10 @@
   if (value.contains("choices") && value["choices"].is_array()) {
     for (json& choice : value["choices"]) {
       if (!choice.is_object()) continue;
+      if (!written_.text.empty() && has_other_output(choice, format_)) {
+        splicer_->reject("its output has another form than what was written");
+        return "";
+      }
       const json* finish = member(choice, "finish_reason");
       const std::string* text_delta = text_of(choice, format_);
       const bool had_text = text_delta != nullptr;
--- a/src/recovery/recovery.hpp
+++ b/src/recovery/recovery.hpp
@@ -31,6 +31,8 @@
   // An estimate: `min_tokens`, or one for each four bytes of text if that is more.
   std::int64_t tokens = 0;
   bool tool_calls = false, other_choices = false, finished = false;
+  // Output that is not in `text`: a refusal, reasoning, audio, or what could not be read.
+  bool other_output = false;
   // The fields that every event repeats: id, created, model and so on.
   nlohmann::json common_fields = nlohmann::json::object();
   std::optional<nlohmann::json> usage;
--- a/tests/integration/recovery_test.cpp
+++ b/tests/integration/recovery_test.cpp
@@ -318,6 +318,23 @@
   CHECK(seen.count(kChat) == 2);
 }
 
+// Guards against a refusal that is asked for again from its start and reaches its client twice.
+TEST_CASE("Recovery: a lost stream with a refusal ends broken, and no second instance is asked") {
+  EventLog seen;
+  const auto script = instance_script(seen, [&](TestConnection& wire, const Message&) {
+    const json refusal = {{"index", 0}, {"delta", {{"refusal", "I am sorry, "}}}, {"finish_reason", nullptr}};
+    wire.send(stream_head() + chunk(events_after("")[0] + event(refusal)));
+    wire.reset();
+    return false;
+  });
+  ScriptedServer one(script), two(script);
+  Appliance appliance({one.address(), two.address()}, with_continuation());
+  const std::string answer = appliance.chat(kConsulta);
+  CHECK(contains(answer, "stream_broken"));
+  CHECK(answer.find("I am sorry") == answer.rfind("I am sorry"));
+  CHECK(seen.count(kChat) == 1);
+}
+
 TEST_CASE("Recovery: without the continuation setting a lost stream ends broken") {
   EventLog seen;
   const auto script = instance_script(seen, [&](TestConnection& wire, const Message&) {
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -191,6 +191,54 @@
   CHECK(long_one.instance_lost(request().dump()).action == Continuation::Action::give_up);
 }
 
+// Guards against a refusal, or other output beside the text, that reaches the client twice.
+TEST_CASE("Recovery: an answer with output beside its text is not continued") {
+  const json deltas[] = {{{"refusal", "I am sorry, "}},
+                         {{"reasoning_content", "The card "}},
+                         {{"audio", {{"data", "AAAA"}}}},
+                         {{"content", {{{"type", "text"}, {"text", "I am "}}}}},
+                         "I am sorry, "};
+  for (const json& delta : deltas) {
+    CAPTURE(delta.dump());
+    StreamRecovery recovery(ContinuationMode::final_message, AnswerFormat::chat);
+    (void)recovery.forward(event({{"choices", {{{"index", 0}, {"delta", delta}}}}}));
+    const Continuation next = recovery.instance_lost(request().dump());
+    CHECK(next.action == Continuation::Action::give_up);
+    CHECK(std::string(next.reason) == "it has output beside its text");
+  }
+  StreamRecovery unreadable(ContinuationMode::final_message, AnswerFormat::chat);
+  (void)unreadable.forward("data: I am sorry, \n\n");
+  CHECK(unreadable.instance_lost(request().dump()).action == Continuation::Action::give_up);
+  StreamRecovery completion(ContinuationMode::prompt, AnswerFormat::completion);
+  (void)completion.forward(event({{"choices", {{{"index", 0}, {"text", {"I am "}}}}}}));
+  CHECK(completion.instance_lost(R"({"prompt":"why?"})").action == Continuation::Action::give_up);
+}
+
+TEST_CASE("Recovery: fields of an event without output do not prevent a continuation") {
+  StreamRecovery recovery(ContinuationMode::final_message, AnswerFormat::chat);
+  const json delta = {{"role", "assistant"}, {"content", ""},     {"refusal", nullptr},
+                      {"audio", nullptr},    {"reasoning", ""},   {"annotations", json::array()},
+                      {"token_id", 7},       {"is_final", false}, {"metadata", json::object()}};
+  (void)recovery.forward(event({{"choices", {{{"index", 0}, {"delta", delta}}}}}));
+  (void)recovery.forward(content_event("first", "some words"));
+  CHECK(recovery.instance_lost(request().dump()).action == Continuation::Action::resume);
+}
+
+// Guards against a second instance's refusal joined to the first one's text.
+TEST_CASE("Recovery: a continuation in another form than the text so far fails the stream") {
+  const json refusal = {{"choices", {{{"index", 0}, {"delta", {{"refusal", "I am sorry"}}}}}}};
+  StreamRecovery recovery(ContinuationMode::final_message, AnswerFormat::chat);
+  (void)recovery.forward(content_event("first", "some words"));
+  REQUIRE(recovery.instance_lost(request().dump()).action == Continuation::Action::resume);
+  CHECK(recovery.forward(event(refusal)).empty());
+  CHECK(recovery.failed());
+  StreamRecovery from_start(ContinuationMode::final_message, AnswerFormat::chat);
+  (void)from_start.forward(content_event("first", ""));
+  REQUIRE(from_start.instance_lost(request().dump()).action == Continuation::Action::resume);
+  CHECK_FALSE(from_start.forward(event(refusal)).empty());
+  CHECK_FALSE(from_start.failed());
+}
+
 TEST_CASE(
     "Recovery: an answer that lacks only its end or has reached its token limit ends without an instance") {
   StreamRecovery whole(ContinuationMode::final_message, AnswerFormat::chat);
