Reserve the ids of open requests among the processes of an upgrade

Cause: PlatformFront::open_ids_ was a set of each process, though two processes serve one socket from the new one's start to the old one's end; take_over dropped a stream whose id the new process had given to another request.

Change: an id is a byte of a file in $TMPDIR, a reservation a lock on it (open file description locks), so that the kernel decides between processes and drops what a killed one held. A handed-over id is shared before the stream is sent, kept by the old process to its end, and taken over by the new one; it reads waiting messages before it reserves an id anew. Only with a passed socket.

Considered: accepting in one process only (kept connections still bring requests), asking the other process (a wait, and none from a hung one), shared memory (entries of killed processes).

Which of the processes gets a request is forced by stopping the other one.

--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -171,7 +171,7 @@
   std::optional<StreamHandover> stream_handover;
   if (config.passed_socket) {
     stream_handover.emplace(loop, *conductor, instances, front, server,
-                            temporary_directory() + "/bankmux-" + config.name + "-streams");
+                            temporary_directory() + "/bankmux-" + config.name);
   }
   if (management) management->set_client_server(server);
   const auto reload = [&] {
--- a/src/app/stream_handover.cpp
+++ b/src/app/stream_handover.cpp
@@ -18,19 +18,32 @@
 }  // namespace
 
 StreamHandover::StreamHandover(net::Loop& loop, core::Conductor& conductor, net::InstanceClient& instances,
-                               net::PlatformFront& front, net::HttpServer& clients, std::string path)
+                               net::PlatformFront& front, net::HttpServer& clients,
+                               const std::string& path_prefix)
     : loop_(loop),
       conductor_(conductor),
       instances_(instances),
       front_(front),
       clients_(clients),
-      path_(std::move(path)) {
+      path_(path_prefix + "-streams") {
   try {
     receiver_ = std::make_unique<net::StreamReceiver>(
         loop_, path_, [this](operations::HandedOverStream passed) { take_over_stream(std::move(passed)); });
   } catch (const std::runtime_error& error) {
     log::write("handover", std::string("running streams can't be taken over here: ") + error.what());
   }
+  share_request_ids(path_prefix + "-ids");
+}
+
+void StreamHandover::share_request_ids(const std::string& path) {
+  try {
+    front_.open_ids().share_with_processes(net::RequestIdLocks(path), [this] {
+      if (receiver_) receiver_->receive_pending();
+    });
+  } catch (const std::runtime_error& error) {
+    log::write("handover",
+               std::string("ids of open requests can't be shared with other processes: ") + error.what());
+  }
 }
 
 void StreamHandover::take_over_stream(operations::HandedOverStream passed) {
@@ -63,8 +76,10 @@
 
 void StreamHandover::send_streams() {
   conductor_.pass_streams([this](const core::RunningStream& stream) {
-    return sender_->send(operations::encode(stream.client_request.payload->id, stream),
-                         stream.client.descriptor, stream.instance.descriptor);
+    const std::string& id = stream.client_request.payload->id;
+    front_.open_ids().offer(id);
+    return sender_->send(operations::encode(id, stream), stream.client.descriptor,
+                         stream.instance.descriptor);
   });
   send_timer_ = loop_.at(loop_.now() + kSendInterval, [this] { send_streams(); });
 }
--- a/src/app/stream_handover.hpp
+++ b/src/app/stream_handover.hpp
@@ -16,10 +16,11 @@
 
 class StreamHandover {
  public:
-  // Starts taking over streams of the process before this one at the Unix socket `path`. If it cannot listen
-  // there, it logs this, and each process finishes its own streams as far as its time allows.
+  // Starts taking over streams of the process before this one at the Unix socket `path_prefix`-streams, and
+  // shares the ids of open requests with it through the file `path_prefix`-ids. What cannot be opened is
+  // logged: each process then finishes its own streams as far as its time allows, or knows only its own ids.
   StreamHandover(net::Loop& loop, core::Conductor& conductor, net::InstanceClient& instances,
-                 net::PlatformFront& front, net::HttpServer& clients, std::string path);
+                 net::PlatformFront& front, net::HttpServer& clients, const std::string& path_prefix);
   StreamHandover(const StreamHandover&) = delete;
   StreamHandover& operator=(const StreamHandover&) = delete;
 
@@ -27,6 +28,7 @@
   void start_sending();
 
  private:
+  void share_request_ids(const std::string& path);
   void take_over_stream(operations::HandedOverStream passed);
   void send_streams();
 
--- a/src/net/handover/stream_socket.cpp
+++ b/src/net/handover/stream_socket.cpp
@@ -138,7 +138,9 @@
         StreamReceiver& receiver = *sender_connection->receiver;
         run_guarded("handover", [&] {
           for (int i = 0; i < kMaxMessagesPerEvent; ++i) {
-            if (receiver.receive(sender_connection->socket.get())) continue;
+            const Received received = receiver.receive(sender_connection->socket.get());
+            if (received == Received::message) continue;
+            if (received == Received::nothing) return;
             receiver.connections_.remove_if(
                 [sender_connection](const Connection& other) { return &other == sender_connection; });
             return;
@@ -149,7 +151,14 @@
   event_add(connection.readable.get(), nullptr);
 }
 
-bool StreamReceiver::receive(int socket) {
+void StreamReceiver::receive_pending() {
+  for (const Connection& connection : connections_) {
+    while (receive(connection.socket.get()) == Received::message) {
+    }
+  }
+}
+
+StreamReceiver::Received StreamReceiver::receive(int socket) {
   std::string text(operations::kMaxMessageBytes + 1, '\0');
   iovec part{text.data(), text.size()};
   alignas(cmsghdr) Control control{};
@@ -159,20 +168,20 @@
   message.msg_control = control.data();
   message.msg_controllen = control.size();
   const ssize_t received = ::recvmsg(socket, &message, MSG_CMSG_CLOEXEC | MSG_DONTWAIT);
-  if (received < 0 && (errno == EAGAIN || errno == EINTR)) return true;
+  if (received < 0 && (errno == EAGAIN || errno == EINTR)) return Received::nothing;
   std::vector<Descriptor> descriptors = received_descriptors(message);
-  if (received <= 0) return false;
+  if (received <= 0) return Received::end;
   text.resize(std::size_t(received));
   auto stream = operations::decode_handover_message(text);
   const bool truncated = (message.msg_flags & (MSG_TRUNC | MSG_CTRUNC)) != 0;
   if (truncated || !stream || descriptors.size() != kDescriptorsPerMessage) {
     log::write("handover", "received a malformed stream message; the stream is broken off");
-    return true;
+    return Received::message;
   }
   stream->stream.client.descriptor = descriptors[0].release();
   stream->stream.instance.descriptor = descriptors[1].release();
   on_stream_(std::move(*stream));
-  return true;
+  return Received::message;
 }
 
 // ---- StreamSender ----
--- a/src/net/handover/stream_socket.hpp
+++ b/src/net/handover/stream_socket.hpp
@@ -39,15 +39,19 @@
   StreamReceiver(const StreamReceiver&) = delete;
   StreamReceiver& operator=(const StreamReceiver&) = delete;
 
+  // Handles all messages that have arrived, before the loop reports them.
+  void receive_pending();
+
  private:
+  enum class Received { message, nothing, end };
   struct Connection {
     StreamReceiver* receiver = nullptr;
     Descriptor socket;
     EventPtr readable;
   };
   void on_connection();
-  // Reads one message. False if the sender has disconnected or the read failed.
-  bool receive(int socket);
+  // Reads and handles one message. `end`: the sender has disconnected or the read failed.
+  Received receive(int socket);
 
   Loop& loop_;
   StreamHandler on_stream_;
--- a/src/net/platform/platform_front.cpp
+++ b/src/net/platform/platform_front.cpp
@@ -106,21 +106,29 @@
   return ask;
 }
 
-// Frees the request's id once the final answer is sent.
+// Releases the request's id once the final answer is sent. The id of a stream that another process continues
+// stays reserved here until this process ends: the other one may not have read it yet.
 class PlatformReply : public HttpReply {
  public:
-  PlatformReply(std::unique_ptr<IncomingRequest> incoming, PlatformFront::OpenIds open, std::string name)
+  PlatformReply(std::unique_ptr<IncomingRequest> incoming, std::shared_ptr<OpenRequestIds> open,
+                std::string name)
       : HttpReply(std::move(incoming)), open_ids_(std::move(open)), name_(std::move(name)) {}
-  ~PlatformReply() override { open_ids_->erase(name_); }
+  ~PlatformReply() override {
+    if (!handed_over_) open_ids_->release(name_);
+  }
   // A stream of the platform protocol needs no state but its bytes to be continued.
   [[nodiscard]] std::optional<core::HandoverState> handover_state() const override {
     return incoming_->handover_state();
   }
-  void detach_after_handover() override { incoming_->detach_after_handover(); }
+  void detach_after_handover() override {
+    handed_over_ = true;
+    incoming_->detach_after_handover();
+  }
 
  private:
-  PlatformFront::OpenIds open_ids_;
+  std::shared_ptr<OpenRequestIds> open_ids_;
   std::string name_;
+  bool handed_over_ = false;
 };
 
 }  // namespace
@@ -146,9 +154,8 @@
     incoming->answer(400, {}, bad.what + "\n");
     return;
   }
-  // Two requests with the same id would share state at the instances: releasing one's would affect the other.
   const std::string name = ask.payload->id;
-  if (!open_ids_->insert(name).second) {
+  if (!open_ids_->reserve(name)) {
     incoming->answer(409, {}, "a request with this X-Txn is open\n");
     return;
   }
@@ -162,7 +169,7 @@
                               const core::Conductor::MakeAttempt& make) {
   std::unique_ptr<IncomingRequest> incoming = clients.take_over(stream.client);
   if (incoming == nullptr || stream.client_request.facts.request_class >= classes_.size() ||
-      !open_ids_->insert(name).second) {
+      !open_ids_->take_over(name)) {
     // Nothing else owns the instance's descriptor yet, so it is closed here.
     (void)close(stream.instance.descriptor);
     return;
--- a/src/net/platform/platform_front.hpp
+++ b/src/net/platform/platform_front.hpp
@@ -3,19 +3,17 @@
 #pragma once
 
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "core/conductor.hpp"
 #include "net/http/http_server.hpp"
+#include "net/platform/open_request_ids.hpp"
 
 namespace bankmux::net {
 
 class PlatformFront {
  public:
-  using OpenIds = std::shared_ptr<std::set<std::string>>;
-
   PlatformFront(core::Conductor& conductor, core::Scheduler& scheduler, std::vector<std::string> classes,
                 std::vector<std::string> tenants)
       : conductor_(conductor),
@@ -28,6 +26,7 @@
   // of both descriptors. Closes both if the client state is malformed or the id is already open here.
   void take_over(const std::string& name, core::RunningStream stream, HttpServer& clients,
                  const core::Conductor::MakeAttempt& make);
+  [[nodiscard]] OpenRequestIds& open_ids() { return *open_ids_; }
   // Answer of the readiness check on the client address.
   void set_ready(bool ready) { ready_ = ready; }
 
@@ -35,7 +34,8 @@
   core::Conductor& conductor_;
   core::Scheduler& scheduler_;
   std::vector<std::string> classes_, tenants_;
-  OpenIds open_ids_ = std::make_shared<std::set<std::string>>();  // ids of the open requests
+  // Shared with the replies, which may outlive this object.
+  std::shared_ptr<OpenRequestIds> open_ids_ = std::make_shared<OpenRequestIds>();
   bool ready_ = true;
 };
 
--- a/tests/integration/operations_test.cpp
+++ b/tests/integration/operations_test.cpp
@@ -3,10 +3,13 @@
 #include <unistd.h>
 
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <thread>
 
+#include "net/handover/request_id_locks.hpp"
+#include "net/handover/stream_socket.hpp"
 #include "platform_fixture.hpp"
 
 using namespace integration;
@@ -291,6 +294,86 @@
   CHECK(next->wait() == 0);
 }
 
+// Guards against an ajuste that runs twice because the other process of an upgrade does not know its id.
+TEST_CASE("During an upgrade the id of a request that is open in one process is refused by the other") {
+  EventLog seen;
+  ScriptedServer slow(slow_instance(seen));
+  ManagedConductor conductor({{"s", "mixto", slow.address()}}, true);
+  Program& old_process = conductor.platform.program();
+  const auto stream = conductor.platform.connect();
+  stream->send(keep_alive_request("of-old"));
+  const std::string begun = stream->receive_until("data: 1\n\n");
+  const auto next = next_version(conductor, unique_address());
+  const auto status_of = [&conductor](const std::string& txn) {
+    return conductor.platform.ask(client_request(txn, "ajuste", 5000, 100)).substr(0, 12);
+  };
+  // A stopped process accepts no connections, so that the other one gets the request.
+  old_process.send_signal(SIGSTOP);
+  CHECK(status_of("of-old") == "HTTP/1.1 409");
+  const auto at_next = conductor.platform.connect();
+  at_next->send(keep_alive_request("of-next"));
+  REQUIRE(at_next->receive_until("data: 1\n\n").ends_with("data: 1\n\n"));
+  next->send_signal(SIGSTOP);
+  old_process.send_signal(SIGCONT);
+  CHECK(status_of("of-next") == "HTTP/1.1 409");
+  next->send_signal(SIGCONT);
+  old_process.terminate();
+  CHECK(old_process.wait() == 0);
+  CHECK(status_of("of-old") == "HTTP/1.1 409");
+  CHECK(seen.count("asked") == 2);
+  seen.add("go on");
+  CHECK(chunk_contents(begun + stream->receive_until("0\r\n\r\n")) ==
+        "data: 1\n\ndata: 2\n\ndata: [DONE]\n\n");
+  CHECK(at_next->receive_until("0\r\n\r\n").ends_with("0\r\n\r\n"));
+  CHECK(status_of("of-old") == "HTTP/1.1 200");
+  next->terminate();
+  CHECK(next->wait() == 0);
+}
+
+// Guards against an id that is free between the end of a handed-over stream in one process and its start in
+// the next.
+TEST_CASE("The id of a stream that was handed over stays reserved while the first process runs") {
+  EventLog seen;
+  ScriptedServer slow([&seen](TestConnection& wire) {
+    while (const auto request = wire.receive()) {
+      if (!request->first.starts_with("POST /v1")) {
+        wire.send(plain_response("204 No Content"));
+      } else if (request->headers.at("x-txn") == "stream") {
+        wire.send(stream_head() + chunk("data: 1\n\n"));
+      } else {
+        seen.add("unanswered");
+      }
+    }
+  });
+  ManagedConductor conductor({{"s", "mixto", slow.address()}}, true);
+  Program& process = conductor.platform.program();
+  const auto stream = conductor.platform.connect(), unanswered = conductor.platform.connect();
+  stream->send(keep_alive_request("stream"));
+  REQUIRE(stream->receive_until("data: 1\n\n").ends_with("data: 1\n\n"));
+  unanswered->send(keep_alive_request("unanswered"));  // keeps the process running after the handover
+  REQUIRE(seen.wait_for("unanswered"));
+  bankmux::net::Loop loop;
+  const std::string prefix = std::string(conductor.directory) + "/bankmux-n1";
+  bankmux::net::RequestIdLocks ids(prefix + "-ids");
+  std::vector<bankmux::net::Descriptor> connections;
+  bankmux::net::StreamReceiver receiver(loop, prefix + "-streams", [&](const auto& passed) {
+    connections.emplace_back(passed.stream.client.descriptor);
+    connections.emplace_back(passed.stream.instance.descriptor);
+    loop.stop();
+  });
+  process.terminate();
+  const auto limit = loop.at(loop.now() + std::chrono::seconds(5), [&loop] { loop.stop(); });
+  loop.run();
+  REQUIRE(connections.size() == 2);
+  // Each of these calls is answered by the process after it has detached the stream.
+  for (int i = 0; i < 3; ++i) CHECK(conductor.metric("open_requests") == 1);
+  CHECK_FALSE(ids.reserve("stream"));
+  CHECK(ids.reserve("another"));
+  unanswered->close();
+  CHECK(process.wait() == 0);
+  CHECK(ids.reserve("stream"));
+}
+
 TEST_CASE("A handed-over stream whose instance fails is cut off without a final chunk") {
   EventLog seen;
   ScriptedServer slow(slow_instance(seen, true));
