Count a request's time from its last byte, and make room for it sooner

Ruled out: the attempt's own time (Exchange counts to its first byte), and the instances (idle).

The age is the kernel's, but at most the time for which this process may have left input unread, so that it counts only after a hold-up or while connections wait. A pause after a failed accept counts as well.

--- a/src/core/conductor.cpp
+++ b/src/core/conductor.cpp
@@ -40,7 +40,7 @@
   r.client_request = std::move(client_request);
   r.reply = std::move(reply);
   r.arrived = scheduler_.now();
-  if (const std::optional<Refusal> refusal = refusal_on_arrival(r.arrived - r.client_request.waited)) {
+  if (const std::optional<Refusal> refusal = refusal_on_arrival(r.client_request)) {
     refuse(r, refusal->cause, refusal->retry_delay);
     report_end(r);
     return 0;
@@ -54,13 +54,16 @@
   return id;
 }
 
-std::optional<Conductor::Refusal> Conductor::refusal_on_arrival(Time received) const {
+std::optional<Conductor::Refusal> Conductor::refusal_on_arrival(const ClientRequest& client_request) const {
+  const Time now = scheduler_.now();
   // No retry delay: other conductors serve at once.
-  const bool too_late = refuse_from_ && received >= *refuse_from_;
+  const bool too_late = refuse_from_ && now - client_request.waited >= *refuse_from_;
   if (abandoned_ || too_late) return Refusal{Ending::Cause::shutdown, {}};
   // Limits memory and sockets: each open request may hold a body and two connections.
   if (requests_.size() >= settings_.max_requests)
     return Refusal{Ending::Cause::table_full, kTableFullRetryDelay};
+  const bool time_was_up = client_request.waited > Duration{0} && now >= client_request.facts.deadline;
+  if (time_was_up) return Refusal{Ending::Cause::no_decision, {}};
   return std::nullopt;
 }
 
--- a/src/core/conductor.hpp
+++ b/src/core/conductor.hpp
@@ -135,7 +135,7 @@
     Ending::Cause cause;
     Duration retry_delay;
   };
-  [[nodiscard]] std::optional<Refusal> refusal_on_arrival(Time received) const;
+  [[nodiscard]] std::optional<Refusal> refusal_on_arrival(const ClientRequest& client_request) const;
 
   // The lifecycle of a request, in request_lifecycle.cpp.
   Task serve(Request& r);
--- a/src/net/http/http_connection.cpp
+++ b/src/net/http/http_connection.cpp
@@ -92,7 +92,9 @@
     : server_(server),
       stream_(bufferevent_socket_new(server.loop_.base(), socket, BEV_OPT_CLOSE_ON_FREE)),
       parser_(server.limits_.max_body_bytes),
-      phase_start_(server.loop_.now()) {
+      phase_start_(server.loop_.now()),
+      last_input_(phase_start_),
+      backlog_since_(server.backlog_since_) {
   if (!stream_) {
     evutil_closesocket(socket);
     throw std::runtime_error("no buffer for a connection");
@@ -183,6 +185,11 @@
   return std::chrono::milliseconds(info.tcpi_last_data_recv);
 }
 
+core::Duration HttpConnection::longest_unread_time() const {
+  const core::Time since = std::min(server_.sweep_before_, backlog_since_.value_or(server_.sweep_before_));
+  return server_.loop_.now() - since;
+}
+
 bool HttpConnection::client_closed() const {
   pollfd client{bufferevent_getfd(stream_.get()), POLLRDHUP, 0};
   return poll(&client, 1, 0) > 0;
@@ -212,6 +219,7 @@
   if (evbuffer_get_length(input) == 0) return;
   if (phase_ == Phase::idle) enter_phase(Phase::reading);
   phase_ = Phase::reading;
+  last_input_ = server_.loop_.now();
   const std::size_t size = evbuffer_get_length(input);
   const char* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
   const bool had_head = parser_.state() != MessageParser::State::head;
@@ -294,6 +302,7 @@
 
 void HttpConnection::response_complete() {
   set_held_bytes(0, buffered_input());
+  backlog_since_.reset();
   // A stream that began before the shutdown has no `Connection: close` in its head. If its connection were
   // kept, the client could send a request for which there is no time left.
   if (close_after_response_ || server_.closing_after_responses_) return start_closing();
@@ -362,7 +371,10 @@
 bool IncomingRequest::client_closed() const { return state_ != State::over && connection_->client_closed(); }
 
 core::Duration IncomingRequest::waited() const {
-  return connection_->server_.closing_after_responses_ ? connection_->input_age() : core::Duration{0};
+  const core::Duration age = connection_->input_age();
+  // During a shutdown, a request that came in time must not count as late.
+  if (connection_->server_.closing_after_responses_) return age;
+  return std::min(age, connection_->longest_unread_time());
 }
 
 bool IncomingRequest::reserve_bytes(std::size_t bytes) {
--- a/src/net/http/http_connection.hpp
+++ b/src/net/http/http_connection.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "net/http/http_server.hpp"
@@ -22,6 +23,7 @@
 
   [[nodiscard]] Phase phase() const { return phase_; }
   [[nodiscard]] core::Duration age(core::Time now) const { return now - phase_start_; }
+  [[nodiscard]] core::Duration time_without_input(core::Time now) const { return now - last_input_; }
   // Whether the time limit of the current phase has passed.
   [[nodiscard]] bool timed_out(core::Time now) const;
   // Whether no input is buffered here or in the kernel. Unread bytes may be a request that must be answered.
@@ -37,6 +39,8 @@
   // How long ago the kernel received the last input; zero if it does not tell. Input waits there unread while
   // the loop is delayed.
   [[nodiscard]] core::Duration input_age() const;
+  // The longest time for which input of this connection may have been there unread.
+  [[nodiscard]] core::Duration longest_unread_time() const;
   // Bytes held here that no handler has been given: part of a request, or input behind an open one.
   [[nodiscard]] std::size_t sheddable_bytes() const;
   // Frees these bytes: a request that is being read is refused, and input behind an open one is dropped,
@@ -73,6 +77,9 @@
   IncomingRequest* incoming_ = nullptr;
   Phase phase_ = Phase::silent;
   core::Time phase_start_;  // start of the phase; for the first request, reading counts from accept
+  core::Time last_input_;   // when input was last read, or the connection accepted
+  // For the first request: since when this connection may have waited to be accepted.
+  std::optional<core::Time> backlog_since_;
   bool close_after_response_ = false;
   bool chunked_ = false, omit_body_ = false;
   bool reset_on_close_ = false;   // reset the connection once the output is written
--- a/src/net/http/http_server.hpp
+++ b/src/net/http/http_server.hpp
@@ -42,7 +42,8 @@
   // Whether the client has closed its connection or its sending side. Asks the kernel, as the loop may not
   // have reported it yet.
   [[nodiscard]] bool client_closed() const;
-  // During a shutdown: how long the request's last byte had been waiting in the kernel when it was read.
+  // How long the request's last byte had been waiting in the kernel when it was read: at most as long as this
+  // process may have left input unread.
   [[nodiscard]] core::Duration waited() const;
   // Sets a callback for the loss of the client's connection before the answer has ended.
   void on_disconnect(std::function<void()> gone) { on_disconnect_ = std::move(gone); }
@@ -151,6 +152,8 @@
   }
   [[nodiscard]] std::string count_by_phase() const;  // number of connections in each phase, for the log
   bool evict_connection();
+  // Stops accepting until the next sweep finds room; what arrives waits in the kernel's backlog.
+  void pause_accepting();
   // Above the limit of held bytes, takes input from the connections that hold the most of it.
   void limit_held_bytes();
   void sweep();
@@ -167,6 +170,13 @@
   std::map<HttpConnection*, std::unique_ptr<HttpConnection>> connections_;  // all connections, from accept on
   ListenerPtr listener_;
   std::unique_ptr<core::Timer> sweep_timer_;
+  // Input from before the last sweep but one has been read, since the loop has handled all its events since
+  // then.
+  core::Time last_sweep_, sweep_before_;
+  bool accepting_ = false;  // without a pause since the last sweep
+  // Since when connections may be waiting in the backlog; empty if all have been accepted. Those of an
+  // inherited socket may be older than this process.
+  std::optional<core::Time> backlog_since_ = core::Time{0};
 };
 
 }  // namespace bankmux::net
--- a/src/net/openai/front.cpp
+++ b/src/net/openai/front.cpp
@@ -376,7 +376,8 @@
   payload->streamed = prepared.facts.streamed;
   core::ClientRequest ask{prepared.facts.arrived, payload, payload->id};
   ask.facts.tenant = appliance_.tenant_index(ticket->tenant);
-  ask.facts.deadline = scheduler_.now() + prepared.facts.timeout;
+  ask.waited = incoming->waited();
+  ask.facts.deadline = scheduler_.now() - ask.waited + prepared.facts.timeout;
   IncomingRequest& client = *incoming;
   std::optional<recovery::StreamRecovery> recovery;
   const core::PayloadPtr original_request = ask.payload;
--- a/src/net/platform/platform_front.cpp
+++ b/src/net/platform/platform_front.cpp
@@ -92,12 +92,13 @@
   ask.facts.session = eiderarch::wire::hash_key(required_header(incoming, "X-Entity"));
   const auto remaining_ms =
       parse_integer(required_header(incoming, "X-Remaining-Ms"), kMaxRemainingMs, "X-Remaining-Ms");
-  ask.facts.deadline = now + std::chrono::milliseconds(remaining_ms);
+  ask.waited = incoming.waited();
+  // The client's time counts from the last byte of its request, which may have waited here unread.
+  ask.facts.deadline = now - ask.waited + std::chrono::milliseconds(remaining_ms);
   parse_labels(incoming.header("X-Labels"), ask.facts);
   const std::string resent = incoming.header("X-Resent");
   ask.facts.client_retry = resent == "1";
   ask.facts.resumed = resent == "again";
-  ask.waited = incoming.waited();
   payload->method = incoming.method();
   payload->target = incoming.target();
   payload->headers = incoming.headers();
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -377,6 +377,17 @@
   CHECK(w.instances.log.empty());
 }
 
+// Guards against a request that runs although its client's time was up before it was read.
+TEST_CASE("Core: a request whose time was up before it was read is refused and sent to no instance") {
+  CoreFixture w;
+  w.list_instance("w", 2);
+  for (const std::uint32_t cls : {0, 1, 2}) CHECK(w.send_request(cls, 100, 0s, 0, 50ms) == 0);
+  CHECK(w.answers == EventLog{"refused", "refused", "refused"});
+  CHECK(w.instances.log.empty());
+  CHECK(w.send_request(0, 100, 1ms, 0, 50ms) != 0);
+  CHECK(w.instances.log == EventLog{"open w"});
+}
+
 // Guards against a stream that begins late in a shutdown and is cut off when the process is killed.
 TEST_CASE("Core: a request that arrives late in a shutdown is refused even if the loop was delayed") {
   CoreFixture w;
