--- a/src/net/http/http_connection.cpp
+++ b/src/net/http/http_connection.cpp
@@ -344,6 +344,14 @@
   if (reset_on_close_) return server_.close(*this);
   shutdown(bufferevent_getfd(stream_.get()), SHUT_WR);
   phase_start_ = server_.loop_.now();
+  if (server_.closing_after_responses_) close_after_linger();
+}
+
+void HttpConnection::close_after_linger() {
+  const core::Time now = server_.loop_.now();
+  const core::Duration remaining = kLingerTimeoutAtShutdown - age(now);
+  if (remaining <= core::Duration{0}) return server_.close(*this);
+  linger_timer_ = server_.loop_.at(now + remaining, [this] { close_after_linger(); });
 }
 
 // Called on the client's close, on an error, and if the client has not read its response within the write
--- a/src/net/http/http_connection.hpp
+++ b/src/net/http/http_connection.hpp
@@ -61,6 +61,8 @@
   // Called after each response: keeps the connection for the next request or closes it.
   void response_complete();
   void start_closing();
+  // During a shutdown: closes the connection once the linger time is over, which the process waits for.
+  void close_after_linger();
   void enter_phase(Phase phase);
   // Updates what this connection holds and the server's total.
   void set_held_bytes(std::size_t request, std::size_t input);
@@ -86,6 +88,7 @@
   bool reading_stopped_ = false;  // reading is disabled for good, see shut_down_unread
   std::size_t discarded_bytes_ = 0;
   core::Time closing_start_{0};  // when phase `ending` began
+  std::unique_ptr<core::Timer> linger_timer_;
 };
 
 }  // namespace bankmux::net
--- a/tests/integration/delayed_loop_test.cpp
+++ b/tests/integration/delayed_loop_test.cpp
@@ -1,6 +1,7 @@
 // Behaviour of a delayed event loop. After a delay, expired timers run before input that arrived in time,
 // because the loop handles a few dozen connections per iteration. Neither this nor two timers that expire in
 // one iteration can be forced from outside the process, so these tests run the loop themselves and delay it.
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <memory>
 #include <optional>
@@ -253,6 +254,38 @@
   }
 }
 
+// Guards against a process that ends too late after SIGTERM: the linger time used to end only with the next
+// sweep.
+TEST_CASE("Server: in a shutdown, a client that does not close is waited for during the linger time alone") {
+  constexpr int kClients = 10, kDelayedByOtherProcesses = 2;
+  constexpr core::Duration kLinger = 100ms;
+  net::Loop loop;
+  const std::string address = unique_address();
+  core::Time answered{0};
+  net::HttpServer server(
+      loop, address,
+      [&](std::unique_ptr<net::IncomingRequest> incoming) {
+        incoming->answer(200, {}, "ok");
+        answered = loop.now();
+      },
+      net::ServerLimits{});
+  server.close_after_responses();
+  std::vector<core::Duration> linger_times;
+  for (int i = 0; i < kClients; ++i) {
+    const auto client = TestConnection::to(address);
+    client->send("GET / HTTP/1.1\r\n\r\n");
+    const core::Time until = loop.now() + 5s;
+    answered = core::Time{0};
+    while ((answered == core::Time{0} || server.connections() > 0) && loop.now() < until) {
+      const auto turn = loop.at(loop.now() + 1ms, [&] { loop.stop(); });
+      loop.run();
+    }
+    linger_times.push_back(loop.now() - answered);
+  }
+  std::ranges::sort(linger_times);
+  CHECK(linger_times[kClients - 1 - kDelayedByOtherProcesses] < kLinger + kLinger / 2);
+}
+
 TEST_CASE("Server: a client's close is detected through the kernel before the loop has reported it") {
   net::Loop loop;
   const std::string address = unique_address();
