Count the time that a request waits behind another one on its connection

The buffered input now says since when; the kernel's figure counts up to that. Of several requests that wait there, the earlier ones are taken for as young as the last one: too young, never too old.

The test waits behind a request of 0.8 s and fails without the change.

--- a/src/net/http/http_connection.cpp
+++ b/src/net/http/http_connection.cpp
@@ -84,7 +84,7 @@
       parser_(server.limits_.max_body_bytes),
       phase_start_(server.loop_.now()),
       last_input_(phase_start_),
-      backlog_since_(server.backlog_since_) {
+      waiting_since_(server.backlog_since_) {
   if (!stream_) {
     evutil_closesocket(socket);
     throw std::runtime_error("no buffer for a connection");
@@ -176,7 +176,7 @@
 }
 
 core::Duration HttpConnection::longest_unread_time() const {
-  const core::Time since = std::min(server_.sweep_before_, backlog_since_.value_or(server_.sweep_before_));
+  const core::Time since = std::min(server_.sweep_before_, waiting_since_.value_or(server_.sweep_before_));
   return server_.loop_.now() - since;
 }
 
@@ -292,7 +292,7 @@
 
 void HttpConnection::response_complete() {
   set_held_bytes(0, buffered_input());
-  backlog_since_.reset();
+  if (input_bytes_ == 0) waiting_since_.reset();
   // A stream that began before the shutdown has no `Connection: close` in its head. If its connection were
   // kept, the client could send a request for which there is no time left.
   if (close_after_response_ || server_.closing_after_responses_) return start_closing();
@@ -309,6 +309,7 @@
   server_.held_bytes_ -= request_bytes_ + input_bytes_;
   request_bytes_ = request;
   input_bytes_ = input;
+  if (input > 0 && !waiting_since_) waiting_since_ = server_.sweep_before_;
 }
 
 // After all output is written, shuts down this side and waits briefly for the client's close. Closing a
--- a/src/net/http/http_connection.hpp
+++ b/src/net/http/http_connection.hpp
@@ -80,8 +80,9 @@
   Phase phase_ = Phase::silent;
   core::Time phase_start_;  // start of the phase; for the first request, reading counts from accept
   core::Time last_input_;   // when input was last read, or the connection accepted
-  // For the first request: since when this connection may have waited to be accepted.
-  std::optional<core::Time> backlog_since_;
+  // Since when the next request may have waited: for the connection to be accepted, or behind an open
+  // request.
+  std::optional<core::Time> waiting_since_;
   bool close_after_response_ = false;
   bool chunked_ = false, omit_body_ = false;
   bool reset_on_close_ = false;   // reset the connection once the output is written
--- a/tests/integration/request_age_test.cpp
+++ b/tests/integration/request_age_test.cpp
@@ -131,6 +131,34 @@
   for (std::size_t i = kClients; i < 2 * kClients; ++i) CHECK(test.waited[i] >= 300ms);
 }
 
+// Guards against a request whose time begins anew as the one before it on its connection ends.
+TEST_CASE("Request age: a request that waited behind another one on its connection has its age") {
+  net::Loop loop;
+  const std::string address = unique_address();
+  std::vector<std::unique_ptr<net::IncomingRequest>> open;
+  std::vector<core::Duration> waited;
+  net::HttpServer server(
+      loop, address,
+      [&](std::unique_ptr<net::IncomingRequest> incoming) {
+        waited.push_back(incoming->waited());
+        open.push_back(std::move(incoming));
+        loop.stop();
+      },
+      net::ServerLimits{});
+  // From then on, the server knows that nothing waits from before its start.
+  const auto started = loop.at(loop.now() + 300ms, [&] { loop.stop(); });
+  loop.run();
+  const auto client = TestConnection::to(address);
+  client->send(kRequest);
+  loop.run();
+  client->send(kRequest);
+  const auto answer_time = loop.at(loop.now() + 800ms, [&] { open[0]->answer(200, {}, "ok"); });
+  const auto limit = loop.at(loop.now() + 5s, [&] { loop.stop(); });
+  loop.run();
+  REQUIRE(waited.size() == 2);
+  CHECK(waited[1] >= 800ms - kSlack);
+}
+
 // Guards against a figure of the kernel's clock for input that cannot have been left unread for so long.
 TEST_CASE("Request age: it is at most the time for which the process may have left input unread") {
   AgeServer test(100);
