Write a request as its head is made, not in the loop's next iteration

Change: Exchange::write_now gives the kernel what it takes at once (writev); the rest is queued as before, and errors are left to libevent. The test forces the moment: two requests begin in one iteration, and the second one's head waits until the first has been received.

--- a/src/net/instances/instance_pool.cpp
+++ b/src/net/instances/instance_pool.cpp
@@ -5,9 +5,12 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
+#include <sys/uio.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <iterator>
 #include <stdexcept>
 #include <utility>
 
@@ -151,17 +154,37 @@
   progress_ = Progress::unwritten;
   bufferevent_enable(connection_.get(), EV_READ | EV_WRITE);
   const std::string head = std::exchange(head_, {})();
-  bufferevent_write(connection_.get(), head.data(), head.size());
-  if (body_ != nullptr && !body_->empty()) write_body();
+  const std::size_t body_size = body_ != nullptr ? body_->size() : 0;
+  const std::size_t written = write_now(head);
+  if (written == head.size() + body_size) {
+    body_.reset();
+    return on_output_written();  // last: it may destroy this object
+  }
+  if (written < head.size())
+    bufferevent_write(connection_.get(), head.data() + written, head.size() - written);
+  const std::size_t written_of_body = written - std::min(written, head.size());
+  if (written_of_body < body_size) queue_body(written_of_body);
+}
+
+// Writes as much of the request as the kernel takes, without waiting for the loop's next iteration: a delayed
+// loop would write it after the remaining time that its head states. Returns the number of bytes written. An
+// error is left to libevent, which reports it on the connection.
+std::size_t Exchange::write_now(const std::string& head) const {
+  iovec parts[] = {{const_cast<char*>(head.data()), head.size()}, {nullptr, 0}};
+  if (body_ != nullptr) parts[1] = {const_cast<char*>(body_->data()), body_->size()};
+  const ssize_t written = writev(bufferevent_getfd(connection_.get()), parts, int(std::size(parts)));
+  return written < 0 ? 0 : std::size_t(written);
 }
 
-// Adds the body by reference: a copy of several megabytes for each attempt would dominate memory use.
-void Exchange::write_body() {
+// Adds the body from `offset` on by reference: a copy of several megabytes for each attempt would dominate
+// memory use.
+void Exchange::queue_body(std::size_t offset) {
   using Owner = std::shared_ptr<const std::string>;
   const Owner& body = *new Owner(std::move(body_));
   const auto release = [](const void*, size_t, void* owner) { delete static_cast<Owner*>(owner); };
   evbuffer* output = bufferevent_get_output(connection_.get());
-  if (evbuffer_add_reference(output, body->data(), body->size(), release, const_cast<Owner*>(&body)) != 0) {
+  if (evbuffer_add_reference(output, body->data() + offset, body->size() - offset, release,
+                             const_cast<Owner*>(&body)) != 0) {
     delete &body;
     throw std::runtime_error("cannot append the request body to the output buffer");
   }
--- a/src/net/instances/instance_pool.hpp
+++ b/src/net/instances/instance_pool.hpp
@@ -67,7 +67,8 @@
   void set_callbacks();
   void arm_connect_timeout();
   void on_connected();
-  void write_body();
+  [[nodiscard]] std::size_t write_now(const std::string& head) const;
+  void queue_body(std::size_t offset);
   void on_output_written();
   void on_readable();
   void on_closed();
--- a/tests/integration/delayed_loop_test.cpp
+++ b/tests/integration/delayed_loop_test.cpp
@@ -109,6 +109,53 @@
   CHECK(seen.all() == std::vector<std::string>{"connection", "GET / HTTP/1.1", "GET / HTTP/1.1"});
 }
 
+// Guards against an attempt that is written long after its head has stated the client's remaining time.
+TEST_CASE("Pool: a request on a kept connection is written as its head is made, not an iteration later") {
+  const auto body = std::make_shared<const std::string>(1000, 'x');
+  EventLog received;
+  ScriptedServer instance([&received](TestConnection& wire) {
+    while (const auto request = wire.receive()) {
+      received.add(request->body.empty() ? "without a body" : "with a body");
+      wire.send(plain_response("200 OK", "ok"));
+    }
+  });
+  struct CountingEvents : net::Exchange::Events {
+    explicit CountingEvents(net::Loop& loop) : loop(loop) {}
+    bool may_write() override { return true; }
+    void on_written() override {}
+    void on_body(std::string) override {}
+    void on_end(bool) override {
+      if (++ended == 2) loop.stop();
+    }
+    net::Loop& loop;
+    int ended = 0;
+  };
+  net::Loop loop;
+  net::InstancePool pool(loop, {});
+  const auto test_limit = loop.at(loop.now() + 5s, [&] { loop.stop(); });
+  CountingEvents filled(loop), events(loop);
+  {
+    const net::Exchange one(pool, instance.address(), get_head, nullptr, kAnyConnection, filled),
+        two(pool, instance.address(), get_head, nullptr, kAnyConnection, filled);
+    loop.run();
+  }
+  REQUIRE(pool.open() == 2);
+  std::optional<bool> first_received;
+  int heads = 0;
+  // Both requests begin in one iteration. The second head holds it up until the first request is received.
+  const auto head = [&] {
+    if (++heads == 2) first_received = received.wait_for("with a body");
+    return "POST / HTTP/1.1\r\nHost: instance\r\nContent-Length: " + std::to_string(body->size()) +
+           "\r\n\r\n";
+  };
+  const net::Exchange one(pool, instance.address(), head, body, kAnyConnection, events),
+      two(pool, instance.address(), head, body, kAnyConnection, events);
+  loop.run();
+  CHECK(pool.open() == 2);
+  CHECK(first_received == true);
+  CHECK(events.ended == 2);
+}
+
 TEST_CASE("Pool: connections established while the loop is delayed beyond the connect timeout are used") {
   ScriptedServer instance([](TestConnection& wire) {
     while (wire.receive()) wire.send(plain_response("200 OK", "ok"));
