Stamp what the fault tests' servers observe with the kernel's time of arrival

The servers recorded an attempt when their thread got a processor, 0.41 s (median) after it was written, and that delay was blamed on the program.

Change: a relay notes when the kernel received the bytes that it forwards (tcpi_last_data_recv, less one tick of its timer), and servers record attempts, reservations and releases at that time; a client records its request when its last byte is sent, and its answer when that arrived; a history is in the order of these times.

--- a/tests/faults/history.cpp
+++ b/tests/faults/history.cpp
@@ -163,12 +163,16 @@
     if (longest > limits_.held)
       report_violation("held", "held cache or reservation neither used nor released in time", longest);
   }
+  // The time of sending is recorded late at worst, so that the request may have been received before it.
+  static std::optional<HistoryEvent> find_sent(const std::vector<HistoryEvent>& events) {
+    const auto sent = std::ranges::find(events, Kind::client_sent, &HistoryEvent::kind);
+    return sent != events.end() ? std::optional(*sent) : std::nullopt;
+  }
   void check_answer(const std::vector<HistoryEvent>& events) {
-    std::optional<HistoryEvent> sent;
+    const std::optional<HistoryEvent> sent = find_sent(events);
     int answers = 0;
     bool explained = false;
     for (const HistoryEvent& event : events) {
-      if (event.kind == Kind::client_sent) sent = event;
       explained |= event.kind == Kind::client_disconnected;
       if (event.kind == Kind::client_unanswered) {
         explained = true;  // reported as a violation of its own
@@ -200,9 +204,8 @@
   }
   void check_attempts(const std::vector<HistoryEvent>& events) {
     std::optional<double> left_at;
-    std::optional<HistoryEvent> sent;
+    const std::optional<HistoryEvent> sent = find_sent(events);
     for (const HistoryEvent& event : events) {
-      if (event.kind == Kind::client_sent) sent = event;
       if (event.kind == Kind::client_disconnected) left_at = event.at;
       if (event.kind != Kind::attempt_received) continue;
       if (left_at && event.at > *left_at + limits_.after_disconnect + limits_.delivery_delay) {
@@ -242,8 +245,13 @@
 
 void History::add(Kind kind, const std::string& id, const std::string& server, const std::string& detail,
                   double number) {
+  add_at(seconds_now(), kind, id, server, detail, number);
+}
+
+void History::add_at(double at, Kind kind, const std::string& id, const std::string& server,
+                     const std::string& detail, double number) {
   const std::lock_guard lock(mutex_);
-  events_.push_back({seconds_now(), kind, id, server, detail, number});
+  events_.push_back({at, kind, id, server, detail, number});
   if (kind == Kind::attempt_received) forwarded_.insert(id);
 }
 
@@ -252,9 +260,19 @@
   return forwarded_.contains(id);
 }
 
+void History::sent_completely(const std::string& id) {
+  const std::lock_guard lock(mutex_);
+  const auto sent = std::find_if(events_.rbegin(), events_.rend(), [&id](const HistoryEvent& event) {
+    return event.kind == Kind::client_sent && event.id == id;
+  });
+  if (sent != events_.rend()) sent->at = seconds_now();
+}
+
 std::vector<HistoryEvent> History::events() const {
   const std::lock_guard lock(mutex_);
-  return events_;
+  std::vector<HistoryEvent> result = events_;
+  std::ranges::stable_sort(result, {}, &HistoryEvent::at);
+  return result;
 }
 
 double longest_held(const std::vector<HistoryEvent>& events, const std::string& id) {
--- a/tests/faults/history.hpp
+++ b/tests/faults/history.hpp
@@ -45,6 +45,12 @@
  public:
   void add(HistoryEvent::Kind kind, const std::string& id, const std::string& server = "",
            const std::string& detail = "", double number = 0.0);
+  // Adds an event that happened before it is recorded.
+  void add_at(double at, HistoryEvent::Kind kind, const std::string& id, const std::string& server = "",
+              const std::string& detail = "", double number = 0.0);
+  // Moves the time of the last `client_sent` of that request to now, when its last byte has been sent.
+  void sent_completely(const std::string& id);
+  // In the order in which they happened.
   [[nodiscard]] std::vector<HistoryEvent> events() const;
   // Whether a server has received an attempt of that request. Uses an index, since every client of a run
   // calls it.
--- a/tests/faults/relay.cpp
+++ b/tests/faults/relay.cpp
@@ -13,6 +13,9 @@
 #include <utility>
 #include <vector>
 
+#include "faults/history.hpp"
+#include "integration/peers.hpp"
+
 namespace faults {
 
 namespace {
@@ -119,10 +122,27 @@
   no_delay(program);
   no_delay(peer);
   pair.silent = new_connections_ == NewConnections::silence;
+  sockaddr_in local{};
+  socklen_t size = sizeof local;
+  getsockname(peer, reinterpret_cast<sockaddr*>(&local), &size);
+  pair.peer_connection_port = ntohs(local.sin_port);
   pairs_.push_back(pair);
   return true;
 }
 
+bool Relay::forward_to_peer(Pair& pair) {
+  pair.last_arrival = seconds_now() - integration::seconds_since_input(pair.program);
+  return forward(pair.program, pair.peer, pair.program_open);
+}
+
+std::optional<double> Relay::last_arrival(int peer_connection_port) const {
+  const std::lock_guard lock(mutex_);
+  for (const Pair& pair : pairs_) {
+    if (pair.peer_connection_port == peer_connection_port) return pair.last_arrival;
+  }
+  return std::nullopt;
+}
+
 bool Relay::forward(int from, int to, bool& open) {
   std::array<char, 16384> bytes;
   const ssize_t got = recv(from, bytes.data(), bytes.size(), MSG_DONTWAIT);
@@ -163,8 +183,7 @@
     pairs_.remove_if([&](Pair& pair) {
       if (pair.silent) return false;
       bool healthy = true;
-      if (pair.program_open && is_ready(pair.program))
-        healthy &= forward(pair.program, pair.peer, pair.program_open);
+      if (pair.program_open && is_ready(pair.program)) healthy &= forward_to_peer(pair);
       if (pair.peer_open && is_ready(pair.peer)) healthy &= forward(pair.peer, pair.program, pair.peer_open);
       if (healthy && (pair.program_open || pair.peer_open)) return false;
       healthy ? void((close(pair.program), close(pair.peer))) : reset(pair);
--- a/tests/faults/relay.hpp
+++ b/tests/faults/relay.hpp
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <list>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -36,18 +37,24 @@
   // the accept queue, and relays new ones.
   void restore();
   [[nodiscard]] std::size_t open() const;
+  // When the last bytes that were relayed to the peer on its connection with this remote port reached the
+  // relay's kernel, on the clock of seconds_now(); empty if that connection is gone.
+  [[nodiscard]] std::optional<double> last_arrival(int peer_connection_port) const;
 
  private:
   struct Pair {
     int program = -1, peer = -1;  // sockets to the program and to the peer
     bool silent = false;
     bool program_open = true, peer_open = true;  // whether that side has not yet ended its sending direction
+    int peer_connection_port = 0;                // local port of the socket to the peer
+    double last_arrival = 0.0;                   // of bytes from the program
   };
   void run();
   bool accept_one();  // false if none is waiting
   void reset_pairs();
   // Forwards available bytes from one socket to the other. Returns false if the pair has to be closed.
   static bool forward(int from, int to, bool& open);
+  static bool forward_to_peer(Pair& pair);
   static void reset(Pair& pair);
 
   std::string target_;
--- a/tests/faults/soak.cpp
+++ b/tests/faults/soak.cpp
@@ -187,6 +187,7 @@
         history_.add(Kind::client_sent, id, "", safe ? "consulta" : "ajuste", wait);
       }
       wire_->send(text);
+      history_.sent_completely(id);
       if (disconnects && wait_and_disconnect(id)) return;
       const AnswerState answer = receive(id);
       if (answer == AnswerState::complete) return;
@@ -222,7 +223,8 @@
       complete = length == 0 || wire_->receive_bytes(length).size() == length;
     }
     if (!complete) return AnswerState::closed_within_answer;
-    history_.add(Kind::client_answered, id, "", "", head.status());
+    const double answered = seconds_now() - wire_->seconds_since_input();
+    history_.add_at(answered, Kind::client_answered, id, "", "", head.status());
     const auto connection = head.headers.find("connection");
     if (connection != head.headers.end() && connection->second == "close") wire_.reset();
     return AnswerState::complete;
--- a/tests/faults/stand_in_platform.cpp
+++ b/tests/faults/stand_in_platform.cpp
@@ -1,5 +1,6 @@
 #include "faults/stand_in_platform.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <thread>
 #include <utility>
@@ -41,6 +42,11 @@
   }
 }
 
+double SimulatedServer::arrival(const TestConnection& wire) const {
+  const double now = seconds_now();
+  return std::min(relay_->last_arrival(wire.peer_port()).value_or(now), now);
+}
+
 bool SimulatedServer::answer(TestConnection& wire, const Message& request) {
   const std::string target = target_of(request);
   if (target.starts_with(kReservationPath)) {
@@ -51,7 +57,7 @@
     }
     {
       const std::lock_guard lock(platform_.mutex_);
-      platform_.history_.add(Kind::released, id, id_);
+      platform_.history_.add_at(arrival(wire), Kind::released, id, id_);
       platform_.held_caches_.erase(id);
     }
     wire.send(plain_response("204 No Content"));
@@ -63,7 +69,8 @@
   }
   const std::string id = request.headers.contains("x-txn") ? request.headers.at("x-txn") : "";
   const double remaining_s = std::stod(request.headers.at("x-remaining-ms")) / 1000.0;
-  platform_.history_.add(Kind::attempt_received, id, id_, prefill_ ? "prefill" : "decode", remaining_s);
+  platform_.history_.add_at(arrival(wire), Kind::attempt_received, id, id_, prefill_ ? "prefill" : "decode",
+                            remaining_s);
   return prefill_ ? run_prefill(wire, id) : decode(wire, id);
 }
 
@@ -124,7 +131,7 @@
   {
     const std::lock_guard lock(platform_.mutex_);
     prefilling = platform_.prefilling_.contains(id);
-    platform_.history_.add(Kind::reservation_held, id, id_);
+    platform_.history_.add_at(arrival(wire), Kind::reservation_held, id, id_);
   }
   if (!prefilling) (void)wire.closed_within(kUnknownReservationDelayMs);
   wire.send(prefilling ? plain_response("200 OK") : plain_response("204 No Content"));
--- a/tests/faults/stand_in_platform.hpp
+++ b/tests/faults/stand_in_platform.hpp
@@ -37,6 +37,9 @@
 
  private:
   void serve(integration::TestConnection& wire);
+  // When the last input of the connection reached the relay. This server may be delayed, and what it observes
+  // must not be blamed on the program.
+  [[nodiscard]] double arrival(const integration::TestConnection& wire) const;
   bool answer(integration::TestConnection& wire, const integration::Message& request);
   bool run_prefill(integration::TestConnection& wire, const std::string& id);
   bool decode(integration::TestConnection& wire, const std::string& id);
--- a/tests/integration/peers.cpp
+++ b/tests/integration/peers.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <spawn.h>
 #include <sys/socket.h>
@@ -136,6 +137,23 @@
   return result;
 }
 
+double seconds_since_input(int socket) {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return 0.0;
+  constexpr double kMaxTick = 0.01;  // seconds; the kernel counts ticks of its timer, 100 a second at least
+  return std::max(0.0, info.tcpi_last_data_recv / 1000.0 - kMaxTick);
+}
+
+int TestConnection::peer_port() const {
+  sockaddr_in peer{};
+  socklen_t size = sizeof peer;
+  if (getpeername(socket_, reinterpret_cast<sockaddr*>(&peer), &size) != 0) return 0;
+  return ntohs(peer.sin_port);
+}
+
+double TestConnection::seconds_since_input() const { return integration::seconds_since_input(socket_); }
+
 bool TestConnection::closed_within(int ms) const {
   pollfd ready{socket_, POLLIN | POLLRDHUP, 0};
   return poll(&ready, 1, ms) > 0 && (ready.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
--- a/tests/integration/peers.hpp
+++ b/tests/integration/peers.hpp
@@ -24,6 +24,10 @@
   [[nodiscard]] int status() const { return first.size() > 12 ? std::stoi(first.substr(9, 3)) : 0; }
 };
 
+// Seconds since the kernel received the last input on a TCP socket at the latest, whether or not it has been
+// read.
+double seconds_since_input(int socket);
+
 class TestConnection {
  public:
   explicit TestConnection(int socket) : socket_(socket) {}
@@ -42,6 +46,9 @@
   std::string receive_all();
   // Receives `count` bytes, or what arrived before the close.
   std::string receive_bytes(std::size_t count);
+  [[nodiscard]] int peer_port() const;
+  // The same for this connection.
+  [[nodiscard]] double seconds_since_input() const;
   // Whether the other side closes or shuts down its sending side within the time.
   [[nodiscard]] bool closed_within(int ms) const;
   // Whether the other side resets the connection within the time, as a close with unread input does.
