Quarantine a connection after the answer to any attempt

A prefill's 202 that comes twice, 8 ms late, was taken for the next request's result, whose decode attempt then ran beside its prefill.

Cause: InstancePool::take_idle kept a connection from reuse for 50 ms after a stream, and after other answers only for at-most-once requests at instances that execute; every attempt at a prefill instance counts as harmless. A 202 has no id, so the wire can't tell whose it is.

Change: the quarantine follows the answer to any attempt. After calls without a body the old rule holds.

The new test failed without the change (five second attempts of ten requests).

--- a/src/net/instances/instance_pool.cpp
+++ b/src/net/instances/instance_pool.cpp
@@ -28,10 +28,10 @@
 
 // Quarantine of a pooled connection after a response. An instance that answers twice does so within a few
 // milliseconds, and a duplicate read after the next request was sent would be taken for that request's
-// response. After a stream, the quarantine applies to every request, because another request's events would
-// reach the client. After other responses, it applies only to requests that a stray response could harm: a
-// duplicated refusal would falsely prove that they were not executed. Other requests may reuse the
-// connection at once, because new connections are expensive for busy instances.
+// response: another request's events would reach the client, and a duplicated prefill result would start a
+// second attempt beside the first. After the response to an attempt, the quarantine applies to every request.
+// After the response to a call without a body, it applies only to requests that a stray response could harm:
+// a refusal would falsely prove that they were not executed.
 constexpr core::Duration kQuarantine = 50ms;
 // From the head to the end of a response that is no stream: the body of a refusal is not worth waiting for.
 constexpr core::Duration kBodyTimeout{500'000};
@@ -239,7 +239,7 @@
   }
   if (parser_.state() != ResponseParser::State::done) return;
   if (pool_.may_reuse(true) && parser_.keep_alive() && used == bytes.size() && !early) {
-    pool_.add_idle(address_, std::move(connection_), is_attempt_ && parser_.status() == 200);
+    pool_.add_idle(address_, std::move(connection_), is_attempt_);
   }
   finish(true);
 }
@@ -298,7 +298,7 @@
   std::list<Idle>& list = it->second;
   const core::Time now = loop_.now();
   for (auto idle = list.begin(); idle != list.end();) {
-    const bool quarantined = idle->answered_stream || !failure_harmless;
+    const bool quarantined = idle->answered_attempt || !failure_harmless;
     if (quarantined && now < idle->answered + kQuarantine) {
       ++idle;
       continue;
@@ -346,9 +346,9 @@
   return connection;
 }
 
-void InstancePool::add_idle(const std::string& address, BufferEventPtr connection, bool answered_stream) {
+void InstancePool::add_idle(const std::string& address, BufferEventPtr connection, bool answered_attempt) {
   std::list<Idle>& list = idle_[address];
-  Idle& idle = list.emplace_front(Idle{this, address, std::move(connection), loop_.now(), answered_stream});
+  Idle& idle = list.emplace_front(Idle{this, address, std::move(connection), loop_.now(), answered_attempt});
   const auto us = limits_.idle_timeout.count();
   const timeval time{static_cast<time_t>(us / 1'000'000), static_cast<suseconds_t>(us % 1'000'000)};
   bufferevent_set_timeouts(idle.connection.get(), &time, nullptr);
--- a/src/net/instances/instance_pool.hpp
+++ b/src/net/instances/instance_pool.hpp
@@ -108,8 +108,8 @@
     InstancePool* pool = nullptr;
     std::string address;
     BufferEventPtr connection;
-    core::Time answered{0};        // when its last response was complete
-    bool answered_stream = false;  // whether that response was the 200 of an attempt
+    core::Time answered{0};         // when its last response was complete
+    bool answered_attempt = false;  // whether that response was to an attempt, not to a call without a body
   };
 
   // Whether reused connections have been reliable enough lately. `failure_harmless`: the request may run
@@ -118,7 +118,7 @@
   void record_reuse(bool success);
   BufferEventPtr take_idle(const std::string& address, bool failure_harmless);
   BufferEventPtr connect(const std::string& address);
-  void add_idle(const std::string& address, BufferEventPtr connection, bool answered_stream);
+  void add_idle(const std::string& address, BufferEventPtr connection, bool answered_attempt);
   static void on_idle_event(Idle* idle);
 
   Loop& loop_;
--- a/tests/integration/race_condition_test.cpp
+++ b/tests/integration/race_condition_test.cpp
@@ -6,6 +6,8 @@
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <filesystem>
+#include <mutex>
+#include <set>
 #include <thread>
 
 #include "platform_fixture.hpp"
@@ -132,6 +134,64 @@
   CHECK(seen.count("crossed") == 0);
 }
 
+// Guards against a second attempt beside the first: a duplicated 202 was taken for the next prefill's result.
+TEST_CASE("Crossing: a late duplicate of a prefill result is not taken for the next request's result") {
+  constexpr int kRequests = 10, kPrefillMs = 100;
+  constexpr auto kLatestDuplicate = 45ms;  // the pages say "some milliseconds"
+  EventLog seen;
+  std::mutex mutex;
+  std::set<std::string> prefilling;
+  const std::string result = plain_response("202 Accepted", "{\"cached_tokens\":0}");
+  const auto id_of = [](const Message& message) {
+    const auto id = message.headers.find("x-txn");
+    return id != message.headers.end() ? id->second : "";
+  };
+  ScriptedServer prefill([&](TestConnection& wire) {
+    std::optional<std::chrono::steady_clock::time_point> answered;
+    while (const auto request = wire.receive()) {
+      const std::string id = id_of(*request);
+      if (id.empty()) {
+        wire.send(plain_response("204 No Content"));
+        continue;
+      }
+      // The duplicate of the last result comes only now, at the worst moment within the time for it.
+      if (answered && std::chrono::steady_clock::now() - *answered < kLatestDuplicate) {
+        {
+          const std::lock_guard lock(mutex);
+          prefilling.insert(id);
+        }
+        wire.send(result);
+        (void)wire.closed_within(kPrefillMs);
+        const std::lock_guard lock(mutex);
+        prefilling.erase(id);
+      }
+      wire.send(result);
+      seen.add("prefilled");
+      answered = std::chrono::steady_clock::now();
+    }
+  });
+  ScriptedServer decode([&](TestConnection& wire) {
+    while (const auto request = wire.receive()) {
+      const std::string id = id_of(*request);
+      {
+        const std::lock_guard lock(mutex);
+        if (prefilling.contains(id)) seen.add("second attempt");
+      }
+      if (!id.empty()) (void)seen.wait_for("prefilled", kRequests);
+      wire.send(id.empty() ? plain_response("204 No Content") : event_stream({"[DONE]"}));
+    }
+  });
+  Platform platform({{"r", "lectura", prefill.address()}, {"w", "escritura", decode.address()}});
+  std::vector<std::unique_ptr<TestConnection>> clients;
+  for (int i = 0; i < kRequests; ++i) {
+    clients.push_back(platform.connect());
+    clients.back()->send(client_request("r" + std::to_string(i), "consulta", 5000, 6000));
+    REQUIRE(seen.wait_for("prefilled", i + 1));
+  }
+  for (const auto& client : clients) CHECK(client->receive_all().starts_with("HTTP/1.1 200"));
+  CHECK(seen.count("second attempt") == 0);
+}
+
 // Simulates the duplicate answer to a probe or claim, as an attempt on the reused connection would see it.
 TEST_CASE("Crossing: a 200 that is no event stream is not accepted as an answer") {
   EventLog seen;
