Promise no safe retry of an at-most-once request that a restart would break

Seen by the review: after a power cut an ajuste ran again, as its client had been told (x-should-retry: true).

Cause: Reply::send_head promised a safe retry by a ledger entry that lives in memory, and Ledger::begin ran what it did not know.

Change: no answer to a request that must not run twice says x-should-retry: true once it may have run.

One check asked for x-should-retry: true with a whole answer to an ajuste. That was the promise at fault: it asks for false now.

--- a/src/admission/admission_control.cpp
+++ b/src/admission/admission_control.cpp
@@ -17,10 +17,13 @@
 // requests as it may have: about the time an answer takes to begin.
 constexpr Duration kRetryWhileOpen = 1s;
 
-// How the ledger identifies the request: a request without a key is a first try unless it is marked.
+// How the ledger identifies the request: one that is not marked as a retry may be one all the same, but only
+// its key can tell.
 RequestIdentity identity_of(const AdmissionRequest& request) {
-  if (!request.idempotency_key.empty()) return RequestIdentity::client_key;
-  return request.retry_count > 0 ? RequestIdentity::marked_retry : RequestIdentity::first_try;
+  const bool retry = request.retry_count > 0;
+  if (!request.idempotency_key.empty())
+    return retry ? RequestIdentity::client_key_retry : RequestIdentity::client_key;
+  return retry ? RequestIdentity::marked_retry : RequestIdentity::first_try;
 }
 
 std::string hex(std::uint64_t value) {
@@ -78,6 +81,7 @@
   // run twice is named by its session and digest, which a repeat shares with it.
   const bool keyed = !request.idempotency_key.empty();
   ticket.by_key = keyed;
+  ticket.once = request.once;
   if (ledger_.limits().entries > 0 && (keyed || request.once)) {
     const std::string name =
         keyed ? request.idempotency_key : "same " + hex(request.session) + " " + hex(request.digest);
--- a/src/admission/admission_control.hpp
+++ b/src/admission/admission_control.hpp
@@ -56,6 +56,7 @@
   Tokens reserved = 0;
   Ledger::Number ledger_entry = 0;  // 0: it has no ledger entry
   bool by_key = false;              // it has an Idempotency-Key, which names its ledger entry
+  bool once = false;                // requests of its class must never run twice
 };
 
 struct AdmissionResult {
@@ -89,8 +90,9 @@
 // Decides for each request whether it is admitted, and accounts for it until it ends.
 class AdmissionControl {
  public:
-  explicit AdmissionControl(AdmissionLimits limits)
-      : limits_(limits), limiter_(limits.max_tenants), ledger_(limits.ledger) {}
+  // `began`: see Ledger.
+  explicit AdmissionControl(AdmissionLimits limits, std::optional<Time> began = std::nullopt)
+      : limits_(limits), limiter_(limits.max_tenants), ledger_(limits.ledger, began) {}
 
   // Replaces the API keys. Without any, all clients are accepted, as one tenant without limits.
   void keys(std::optional<ApiKeySet> keys) { keys_ = std::move(keys); }
--- a/src/admission/ledger.cpp
+++ b/src/admission/ledger.cpp
@@ -20,25 +20,29 @@
   std::string name = lookup_key(tenant, key);
   if (const auto known = by_lookup_key_.find(name); known != by_lookup_key_.end()) {
     Entry& entry = entries_.at(known->second);
+    const bool unexecuted = entry.open == 0 && !entry.may_have_run;
+    if (unexecuted) entry.digest = digest;
     if (entry.digest != digest) return {BeginStatus::key_reused, known->second, nullptr};
-    if (identity == RequestIdentity::first_try) {
-      if (entry.eviction_position)
-        ended_list(entry).erase(*std::exchange(entry.eviction_position, std::nullopt));
-      ++entry.open;
+    if (unexecuted || identity == RequestIdentity::first_try) {
+      reopen(entry);
       return {BeginStatus::fresh, known->second, nullptr};
     }
     if (entry.open > 0) return {BeginStatus::running, known->second, nullptr};
     return {BeginStatus::ended, known->second,
             entry.answer && !entry.outcome_unknown ? &*entry.answer : nullptr};
   }
-  if (entries_.size() >= limits_.entries && !evict_repeatable()) return {BeginStatus::full, 0, nullptr};
+  const bool retry =
+      identity == RequestIdentity::client_key_retry || identity == RequestIdentity::marked_retry;
+  if (retry && once && lacks_earlier_requests()) return {BeginStatus::ended, 0, nullptr};
+  if (entries_.size() >= limits_.entries && !evict_entry()) return {BeginStatus::full, 0, nullptr};
   const Number number = ++last_number_;
   Entry entry;
   entry.tenant = tenant;
   entry.key = key;
   entry.digest = digest;
   entry.once = once;
-  entry.by_client_key = identity == RequestIdentity::client_key;
+  entry.by_client_key =
+      identity == RequestIdentity::client_key || identity == RequestIdentity::client_key_retry;
   entries_.emplace(number, std::move(entry));
   by_lookup_key_.emplace(std::move(name), number);
   return {BeginStatus::fresh, number, nullptr};
@@ -68,7 +72,9 @@
   }
   if (entry.open == 0) {
     // A repeatable request whose answer is not stored needs no protection: its repeat may run.
-    if (!entry.may_have_run || (entry.outcome_unknown && !entry.once)) return erase_entry(it);
+    const bool explains_retry = !entry.may_have_run && entry.once && lacks_earlier_requests();
+    if (!entry.may_have_run && !explains_retry) return erase_entry(it);
+    if (entry.outcome_unknown && !entry.once) return erase_entry(it);
     entry.pending_attempts = 0;
     entry.ended = now_;
     entry.eviction_position = ended_list(entry).insert(ended_list(entry).end(), number);
@@ -88,7 +94,7 @@
 std::vector<Ledger::EntryInfo> Ledger::find(const std::string& key) const {
   std::vector<EntryInfo> found;
   for (const auto& [number, e] : entries_) {
-    if (e.key != key) continue;
+    if (e.key != key || (e.open == 0 && !e.may_have_run)) continue;
     found.push_back({e.tenant, e.key, e.once, e.open, e.may_have_run || e.pending_attempts > 0,
                      e.answer && !e.outcome_unknown ? e.answer->status : 0,
                      e.answer ? e.answer->body.size() : 0, e.open > 0 ? Duration{0} : now_ - e.ended});
@@ -98,7 +104,7 @@
 
 void Ledger::expire(Time now) {
   now_ = std::max(now_, now);
-  for (std::list<Number>* list : {&ended_at_most_once_, &ended_repeatable_}) {
+  for (std::list<Number>* list : {&ended_at_most_once_, &ended_repeatable_, &ended_unexecuted_}) {
     while (!list->empty()) {
       const auto oldest = entries_.find(list->front());
       if (now_ - oldest->second.ended < limits_.age) break;
@@ -107,9 +113,16 @@
   }
 }
 
-bool Ledger::evict_repeatable() {
-  if (ended_repeatable_.empty()) return false;
-  erase_entry(entries_.find(ended_repeatable_.front()));
+void Ledger::reopen(Entry& entry) {
+  if (entry.eviction_position) ended_list(entry).erase(*std::exchange(entry.eviction_position, std::nullopt));
+  ++entry.open;
+}
+
+// Makes room by dropping the oldest entry whose request may run again.
+bool Ledger::evict_entry() {
+  const std::list<Number>& list = ended_unexecuted_.empty() ? ended_repeatable_ : ended_unexecuted_;
+  if (list.empty()) return false;
+  erase_entry(entries_.find(list.front()));
   return true;
 }
 
--- a/src/admission/ledger.hpp
+++ b/src/admission/ledger.hpp
@@ -37,9 +37,10 @@
 
 // How a request is identified when its ledger entry is looked up.
 enum class RequestIdentity {
-  client_key,    // by its Idempotency-Key: any other request with that key is the same request
-  marked_retry,  // by session and words; it claims to be a retry, but not of which request
-  first_try,     // by session and words; it does not claim to be a retry
+  client_key,        // by its Idempotency-Key: any other request with that key is the same request
+  client_key_retry,  // the same, and it claims to be a retry
+  marked_retry,      // by session and words; it claims to be a retry, but not of which request
+  first_try,         // by session and words; it does not claim to be a retry
 };
 
 class Ledger {
@@ -48,7 +49,8 @@
   enum class BeginStatus {
     fresh,       // run the request; its entry is open under `number`
     running,     // the first request is still running
-    ended,       // `answer` is its answer, or null if the outcome is unknown or may be another request's
+    ended,       // `answer` is its answer, or null if the outcome is unknown or may be another request's,
+                 // or if it is a retry of a request that may have run before this ledger began
     key_reused,  // the key was used for a request with another digest
     full,        // no room for an entry, so the request cannot be protected
   };
@@ -68,7 +70,11 @@
     Duration since_end{0};
   };
 
-  explicit Ledger(LedgerLimits limits) : limits_(limits) {}
+  // `began`: when this ledger began to record requests, if requests that it does not have may have run
+  // before.
+  explicit Ledger(LedgerLimits limits, std::optional<Time> began = std::nullopt) : limits_(limits) {
+    if (began) complete_from_ = *began + limits.age;
+  }
 
   // Opens an entry for a request, or finds the one of an earlier request with the same key.
   // `digest`: of path and body. `once`: requests of its class must not run twice, so the entry is
@@ -79,8 +85,9 @@
   // True: an attempt that may execute the request is about to be sent. False: that attempt is proved not to
   // have executed it.
   void record_attempt(Number number, bool may_have_run = true);
-  // One request under the entry has ended. If none ever ran, the entry is erased and a repeat runs. If one
-  // may have run and left no answer, the outcome is unknown, unless the request may run again anyway.
+  // One request under the entry has ended. If none ever ran, a repeat runs; the entry is kept only as long as
+  // the ledger is too young to tell its retry from one of an unknown request. If one may have run and left no
+  // answer, the outcome is unknown, unless the request may run again anyway.
   void end(Time now, Number number, bool may_have_run, std::optional<RecordedAnswer> answer);
 
   // All entries under a key, of all tenants.
@@ -107,21 +114,26 @@
   using Entries = std::unordered_map<Number, Entry>;
 
   [[nodiscard]] std::list<Number>& ended_list(const Entry& entry) {
+    if (!entry.may_have_run) return ended_unexecuted_;
     return entry.once ? ended_at_most_once_ : ended_repeatable_;
   }
+  // Whether a request may have run before this ledger began, and so recently that its repeat must not run.
+  [[nodiscard]] bool lacks_earlier_requests() const { return now_ < complete_from_; }
+  void reopen(Entry& entry);
   void expire(Time now);
-  bool evict_repeatable();
+  bool evict_entry();
   void erase_entry(Entries::iterator entry);
   void drop_answer(Entry& entry);
 
   LedgerLimits limits_;
   Time now_{0};
+  Time complete_from_ = Time::min();  // from then on, the ledger has all requests within its retention time
   Number last_number_ = 0;
   std::size_t answer_bytes_ = 0;
   Entries entries_;
   std::unordered_map<std::string, Number> by_lookup_key_;
-  std::list<Number> ended_at_most_once_, ended_repeatable_;  // ended entries, oldest first
-  std::list<Number> with_answer_;                            // entries whose answer is stored, oldest first
+  std::list<Number> ended_at_most_once_, ended_repeatable_, ended_unexecuted_;  // oldest first
+  std::list<Number> with_answer_;  // entries whose answer is stored, oldest first
 };
 
 }  // namespace bankmux::admission
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -212,7 +212,8 @@
   const ResourceLimits resource_limits(appliance.sockets, appliance.memory_mb);
   net::Loop loop;
   // Declared before the conductor, because requests report to it until they are destroyed.
-  admission::AdmissionControl admission_control({appliance.ledger, kMaxTenants, resource_limits.requests});
+  admission::AdmissionControl admission_control({appliance.ledger, kMaxTenants, resource_limits.requests},
+                                                loop.now());
   set_keys(admission_control, appliance);
   std::optional<core::Conductor> conductor;
   net::InstanceClient instances(
--- a/src/net/openai/front.cpp
+++ b/src/net/openai/front.cpp
@@ -261,7 +261,7 @@
     Headers headers = common;
     headers.emplace_back("Idempotent-Replayed", "true");
     headers.emplace_back("Content-Type", first.content_type);
-    openai::add_retry_headers(headers, first.status == 200, {});
+    openai::add_retry_headers(headers, first.status == 200 && !request.once, {});
     if (!first.streamed) {
       incoming.answer(first.status, headers, first.body);
     } else {
--- a/src/net/openai/reply.cpp
+++ b/src/net/openai/reply.cpp
@@ -40,8 +40,7 @@
 
 void Reply::send_head() {
   if (std::exchange(head_sent_, true)) return;
-  // If the ledger protects the request, a retry after a broken connection never runs it twice.
-  Headers all = headers(kStream, options_.account->protects());
+  Headers all = headers(kStream, options_.account->promises_safe_retry());
   all.emplace_back("Cache-Control", "no-cache");
   incoming_->begin(200, all);
 }
@@ -145,7 +144,7 @@
         {502, "server_error", "upstream_failed", "The box's answer could not be understood.", false, {}});
   }
   options_.account->completed(200, kJson, *complete_answer);
-  incoming_->answer(200, headers(kJson, options_.account->protects()), *complete_answer);
+  incoming_->answer(200, headers(kJson, options_.account->promises_safe_retry()), *complete_answer);
 }
 
 // An incomplete stream is reported by an error event, unless the instance has already sent one, and by the
--- a/src/net/openai/request_account.hpp
+++ b/src/net/openai/request_account.hpp
@@ -25,9 +25,14 @@
   RequestAccount(const RequestAccount&) = delete;
   RequestAccount& operator=(const RequestAccount&) = delete;
 
-  // Whether its ledger entry is named by the client's Idempotency-Key, so that a retry never runs it twice.
+  // Whether its ledger entry is named by the client's Idempotency-Key, so that this process never runs a
+  // retry of it again.
   [[nodiscard]] bool protects() const { return ticket_.ledger_entry != 0 && ticket_.by_key; }
 
+  // Whether any later retry is safe. The ledger does not survive the process, so that it cannot promise this
+  // for a request that must not run twice.
+  [[nodiscard]] bool promises_safe_retry() const { return protects() && !ticket_.once; }
+
   // An attempt that may execute the request is about to be sent; on_not_executed: it is proved not to have
   // run.
   void on_sending();
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -142,6 +142,52 @@
   CHECK(ledger.begin(62s, "t", "b", 1, true).status == BeginStatus::fresh);  // the entry has expired
 }
 
+// Guards against a retry that runs again because its first try is only in the ledger of the process before.
+TEST_CASE("Ledger: until it is as old as its entries may be, it does not run retries of unknown requests") {
+  constexpr Duration kAge = 60s;
+  const LedgerLimits limits{3, 1000, 1000, kAge};
+  for (const RequestIdentity retry : {RequestIdentity::client_key_retry, RequestIdentity::marked_retry}) {
+    Ledger ledger(limits, 100s);
+    const auto unknown = ledger.begin(110s, "t", "a", 1, true, retry);
+    CHECK(unknown.status == BeginStatus::ended);
+    CHECK(unknown.answer == nullptr);
+    CHECK(ledger.begin(110s, "t", "a", 1, false, retry).status == BeginStatus::fresh);  // it may run twice
+    CHECK(ledger.begin(100s + kAge, "t", "b", 1, true, retry).status == BeginStatus::fresh);
+    Ledger complete(limits);
+    CHECK(complete.begin(0s, "t", "a", 1, true, retry).status == BeginStatus::fresh);
+  }
+}
+
+TEST_CASE("Ledger: a young one runs the retry of a request that it knows not to have run") {
+  Ledger ledger({3, 1000, 1000, 60s}, 100s);
+  const auto run_unexecuted = [&](const char* key, RequestIdentity identity) {
+    const auto begun = ledger.begin(110s, "t", key, 1, true, identity);
+    REQUIRE(begun.status == BeginStatus::fresh);
+    ledger.end(110s, begun.number, false, std::nullopt);
+  };
+  run_unexecuted("a", RequestIdentity::client_key);
+  run_unexecuted("a", RequestIdentity::client_key_retry);
+  CHECK(ledger.find("a").empty());  // nothing prevents it from running
+  // Such entries make room first, and their retries are then unknown.
+  run_unexecuted("b", RequestIdentity::first_try);
+  run_unexecuted("c", RequestIdentity::first_try);
+  run_unexecuted("d", RequestIdentity::first_try);
+  CHECK(ledger.entries() == 3);
+  CHECK(ledger.begin(111s, "t", "a", 1, true, RequestIdentity::client_key_retry).status ==
+        BeginStatus::ended);
+  run_unexecuted("d", RequestIdentity::marked_retry);
+  // One that has run in the end is protected as any other.
+  const auto executed = ledger.begin(112s, "t", "d", 1, true, RequestIdentity::marked_retry);
+  ledger.record_attempt(executed.number);
+  ledger.end(112s, executed.number, true, std::nullopt);
+  CHECK(ledger.begin(113s, "t", "d", 1, true, RequestIdentity::marked_retry).status == BeginStatus::ended);
+  // Once the ledger is old enough, nothing is kept of what has not run.
+  const auto later = ledger.begin(170s, "t", "e", 1, true);
+  ledger.end(170s, later.number, false, std::nullopt);
+  CHECK(ledger.begin(171s, "t", "e", 2, true, RequestIdentity::client_key_retry).status ==
+        BeginStatus::fresh);
+}
+
 TEST_CASE("Ledger: when full, it evicts repeatable requests and never at-most-once ones") {
   Ledger ledger({3, 1000, 1000, 3600s});
   for (const char* key : {"a", "b"}) {
--- a/tests/integration/admission_test.cpp
+++ b/tests/integration/admission_test.cpp
@@ -269,7 +269,7 @@
   step = 1;
   const std::string served = send_request(appliance, kAjuste, {"", "a"});
   CHECK(served.starts_with("HTTP/1.1 200"));
-  CHECK(contains(served, "x-should-retry: true"));  // because its key protects it
+  CHECK(contains(served, "x-should-retry: false"));  // its ledger entry does not survive this process
   step = 2;
   seen.clear();
   CHECK(contains(send_request(appliance, kAjuste, {"", "b"}), "outcome_unknown"));
@@ -285,6 +285,46 @@
   CHECK(send_request(appliance, kAjuste, {"", "", "0"}).starts_with("HTTP/1.1 200"));
 }
 
+// Guards against an `ajuste` that runs again after a power cut because its client was told to retry.
+TEST_CASE("Admission: after a SIGKILL at any step of an ajuste, its marked retry does not run") {
+  enum class Step { received, streaming, answered };
+  EventLog seen;
+  std::atomic<Step> last_step{Step::received};
+  ScriptedServer one(instance_script(seen, [&](TestConnection& wire, const Message& m) {
+    if (last_step == Step::received) return !wire.closed_within(5000);
+    const bool streamed = json::parse(m.body).value("stream", false);
+    if (last_step == Step::answered) {
+      wire.send(streamed ? stream_text() : json_answer("200 OK", kWhole));
+      return true;
+    }
+    wire.send(stream_head() + chunk(kEvent));
+    return !wire.closed_within(5000);
+  }));
+  Appliance appliance({one.address()});
+  for (const Step step : {Step::received, Step::streaming, Step::answered}) {
+    for (const std::string& key : {std::string("pedido-" + std::to_string(int(step))), std::string()}) {
+      INFO("step " << int(step) << ", key '" << key << "'");
+      last_step = step;
+      seen.clear();
+      const auto client = appliance.connect();
+      client->send(request(kStream, {"", key, "0"}));
+      REQUIRE(seen.wait_for(kChat));
+      if (step != Step::received) {
+        const std::string begun = client->receive_until(step == Step::streaming ? kEvent : "0\r\n\r\n");
+        CHECK(contains(begun, "x-should-retry: false"));
+      }
+      appliance.kill_and_restart();
+      last_step = Step::answered;
+      const std::string retry = send_request(appliance, kStream, {"", key, "1"});
+      CHECK(retry.starts_with("HTTP/1.1 502"));
+      CHECK(json_body(retry)["error"]["code"] == "outcome_unknown");
+      CHECK(contains(retry, "x-should-retry: false"));
+      CHECK(seen.count(kChat) == 1);
+      CHECK(send_request(appliance, kAjuste, {"", "new-" + key, "0"}).starts_with("HTTP/1.1 200"));
+    }
+  }
+}
+
 // Guards against an `ajuste` that no instance ran and whose client gets an earlier one's answer as its own.
 TEST_CASE("Admission: the marked retry of a refused request never gets the answer of an identical one") {
   EventLog seen;
--- a/tests/integration/appliance_fixture.hpp
+++ b/tests/integration/appliance_fixture.hpp
@@ -71,9 +71,12 @@
     file.merge_patch(changes);
     file_ = file;
     path_ = temporary_file(file.dump());
-    program_ = std::make_unique<Program>(std::vector<std::string>{"serve", "--appliance", path_},
-                                         std::map<std::string, std::string>{});
-    program_->expect_listening(chat_);
+    start();
+  }
+  void kill_and_restart() {
+    program_->send_signal(SIGKILL);
+    (void)program_->wait();
+    start();
   }
   // Replaces the file and sends SIGHUP.
   void reload(const nlohmann::json& file) const {
@@ -122,6 +125,12 @@
   Program& program() { return *program_; }
 
  private:
+  void start() {
+    program_ = std::make_unique<Program>(std::vector<std::string>{"serve", "--appliance", path_},
+                                         std::map<std::string, std::string>{});
+    program_->expect_listening(chat_);
+  }
+
   std::string chat_ = unique_address(), page_ = unique_address(), agent_ = unique_address();
   nlohmann::json file_;
   std::string path_;
