Give up an instance that falls silent within an answer that is not streamed

Cause: HttpAttempt::on_body watched streams alone; for a JSON answer the request's deadline was the only limit.

Change: 4 s without a further part end the attempt, the limit that streams have.

--- a/src/net/instances/instance_client.cpp
+++ b/src/net/instances/instance_client.cpp
@@ -29,6 +29,8 @@
 constexpr std::size_t kMaxEventBytes = 2 * 1024 * 1024;
 // Of a stream, held back until its first event is complete.
 constexpr std::size_t kMaxUnsentPrefixBytes = 16 * 1024;
+// Between two pieces of an answer that is not streamed, as for a stream that has fallen silent.
+constexpr Duration kMaxAnswerSilence = 4s;
 // How long a response may take to end after [DONE], so that its connection can be kept.
 constexpr Duration kGraceAfterDone = 250ms;
 
@@ -160,7 +162,14 @@
     const ResponseParser& response = exchange_.response();
     if (response.status() == 200 && streamed_ && !has_wrong_content_type()) {
       dialect_ == Dialect::openai ? on_events(bytes) : on_stream(std::move(bytes));
-    } else if (body_.size() + bytes.size() <= max_body_) {
+    } else {
+      on_body_part(bytes);
+    }
+  }
+  // Until an answer that is not streamed begins, only the request's deadline limits the wait for it.
+  void on_body_part(std::string_view bytes) {
+    end_timer_ = loop_.at(loop_.now() + kMaxAnswerSilence, [this] { on_end(false); });
+    if (body_.size() + bytes.size() <= max_body_) {
       body_ += bytes;
     } else {
       too_large_ = true;
--- a/tests/integration/chat_test.cpp
+++ b/tests/integration/chat_test.cpp
@@ -117,6 +117,35 @@
   CHECK(good.count(kChat) == 10);
 }
 
+// Guards against a client that waits for the time of all its tokens (140 s with the deploy file) because its
+// instance has fallen silent within the answer.
+TEST_CASE("Chat: an instance that falls silent within an answer that is not streamed is given up after 4 s") {
+  constexpr std::chrono::milliseconds kMaxSilence = 4s, kSlack = 1500ms;
+  const std::string answer =
+      plain_response("200 OK", "{\"choices\":[]}", "Content-Type: application/json\r\n");
+  for (const auto& [model, expected] :
+       {std::pair{"m-consulta", "HTTP/1.1 200"}, std::pair{"m-ajuste", "HTTP/1.1 502"}}) {
+    EventLog seen;
+    std::atomic<bool> silent{true};
+    const auto script = instance_script(seen, [&](TestConnection& wire, const Message&) {
+      if (!silent.exchange(false)) {
+        wire.send(answer);
+        return true;
+      }
+      wire.send(answer.substr(0, answer.size() - 1));
+      return !wire.closed_within(60000);
+    });
+    ScriptedServer one(script), two(script);
+    Appliance appliance({one.address(), two.address()});
+    const auto begun = std::chrono::steady_clock::now();
+    CHECK(appliance.chat(Appliance::body(model, false)).starts_with(expected));
+    const auto waited = std::chrono::steady_clock::now() - begun;
+    // A consulta's attempt is given up sooner where another box may serve it.
+    if (model == std::string("m-ajuste")) CHECK(waited >= kMaxSilence);
+    CHECK(waited < kMaxSilence + kSlack);
+  }
+}
+
 TEST_CASE("Chat: a client that sends 12 MB before it reads still receives its 413") {
   EventLog seen;
   ScriptedServer one(answering(seen));
