Bound the unsent output of all streams together by the memory

Change: the limit of a stream is its part of a fifth of memory_mb among all requests that may be open, 16 to 256 KiB (ServerLimits::unsent_bytes).

The new test fails with the old fixed limit (64 KiB written, 32 allowed).

--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -46,6 +46,7 @@
 constexpr std::size_t kMaxTenants = 100'000;      // tracked at once; about 20 MB if all are in use
 constexpr std::size_t kReservedSockets = 64;      // for the loop, log, discovery, listeners and a reserve
 constexpr std::size_t kOperatorConnections = 16;
+constexpr std::size_t kMinUnsentBytes = 16 * 1024;  // of one stream; what a connection reads at once
 // Bytes per second; a slow office line delivers twice that.
 constexpr std::size_t kMinUploadRate = 256 * 1024;
 // After its last answer a connection may send up to this many maximal bodies more, which are read and
@@ -71,6 +72,9 @@
     // Up to three copies of a body exist for a moment: the one read, the one kept for the next attempt and
     // the one being sent.
     clients.held_bytes = memory_mb * 1024 * 1024 / 5;
+    // All streams at once, if none of their clients reads.
+    clients.unsent_bytes =
+        std::clamp(memory_mb * 1024 * 1024 / 5 / requests, kMinUnsentBytes, clients.unsent_bytes);
   }
 };
 
--- a/src/net/http/http_server.hpp
+++ b/src/net/http/http_server.hpp
@@ -90,6 +90,7 @@
   // answer.
   std::size_t held_bytes = 32 * 1024 * 1024;
   std::size_t max_body_bytes = RequestParser::kMaxBodyBytes;  // bytes of a single request body
+  std::size_t unsent_bytes = 256 * 1024;  // unsent output of a single stream above which its source is paused
   // Minimum upload rate, in bytes per second, that earns a body more than the usual request time; 0: no extra
   // time.
   std::size_t min_upload_bytes_per_s = 0;
--- a/src/net/http/incoming_request.cpp
+++ b/src/net/http/incoming_request.cpp
@@ -15,8 +15,6 @@
 
 // Unsent output of a stream up to which it may be handed over to another process.
 constexpr std::size_t kMaxHandoverBytes = 64 * 1024;
-// Unsent output of a stream above which its source is paused.
-constexpr std::size_t kBackpressureBytes = 256 * 1024;
 // Limit for a stream whose source cannot be paused: an event of the maximum size plus what arrived with it.
 constexpr std::size_t kMaxUnsentBytes = 4 * 1024 * 1024;
 
@@ -85,8 +83,8 @@
 
 bool IncomingRequest::wait_for_output_room(const std::function<void()>& room) {
   if (state_ != State::streaming) return false;
-  if (evbuffer_get_length(bufferevent_get_output(connection_->stream_.get())) <= kBackpressureBytes)
-    return false;
+  const std::size_t unsent = evbuffer_get_length(bufferevent_get_output(connection_->stream_.get()));
+  if (unsent <= connection_->server_.limits_.unsent_bytes) return false;
   on_drained_ = room;
   return true;
 }
--- a/tests/integration/server_memory_test.cpp
+++ b/tests/integration/server_memory_test.cpp
@@ -23,6 +23,7 @@
 
 constexpr int kClients = 64;
 constexpr std::size_t kHeldLimit = 512 * 1024;
+constexpr std::size_t kUnsentLimit = 32 * 1024;
 // Buffers and objects of one connection, without what its client has sent.
 constexpr std::size_t kConnectionBytes = 8 * 1024;
 // A growing string takes up to twice its content.
@@ -43,13 +44,14 @@
   net::Loop loop;
   std::string address = unique_address();
   std::vector<std::unique_ptr<net::IncomingRequest>> open;
-  net::HttpServer server{loop,
-                         address,
-                         [this](std::unique_ptr<net::IncomingRequest> incoming) {
-                           if (incoming->target() == "/now") return incoming->answer(200, {}, "now");
-                           open.push_back(std::move(incoming));
-                         },
-                         {.connections = 2 * kClients, .held_bytes = kHeldLimit}};
+  net::HttpServer server{
+      loop,
+      address,
+      [this](std::unique_ptr<net::IncomingRequest> incoming) {
+        if (incoming->target() == "/now") return incoming->answer(200, {}, "now");
+        open.push_back(std::move(incoming));
+      },
+      {.connections = 2 * kClients, .held_bytes = kHeldLimit, .unsent_bytes = kUnsentLimit}};
   std::vector<std::unique_ptr<TestConnection>> clients;
   std::size_t peak = 0;  // bytes of the heap beyond those before the clients sent
 
@@ -127,6 +129,27 @@
   for (const auto& client : crowd.clients) CHECK(client->receive_head().first == "HTTP/1.1 200 OK");
 }
 
+// Guards against streams that fill the memory together, although each of them is bounded.
+TEST_CASE("Memory: a stream whose client does not read is paused at the server's limit") {
+  CrowdedServer crowd;
+  crowd.send_from_all(kHead + "\r\n");
+  REQUIRE(crowd.open.size() == kClients);
+  const std::string piece(1024, 'x');
+  std::size_t most_written = 0;
+  for (const auto& request : crowd.open) {
+    request->begin(200, {});
+    std::size_t written = 0;
+    // The loop does not run, so that nothing reaches the kernel.
+    while (!request->wait_for_output_room([] {}) && written < 2 * kUnsentLimit) {
+      request->chunk(piece);
+      written += piece.size();
+    }
+    most_written = std::max(most_written, written);
+  }
+  CHECK(most_written <= kUnsentLimit);
+  CHECK(most_written > kUnsentLimit / 2);
+}
+
 // Guards against large usual requests that pay for bad clients, because they hold the most for a moment.
 TEST_CASE("Memory: a large request that is still arriving is served beside smaller ones that have stalled") {
   constexpr int kPieces = 4;
