Test the age of requests behind a handed-over stream and on the chat front

A request that waits 0.8 s behind a stream which another process handed over is told at most what is left; one whose time was up while the process was stopped is refused and reaches no instance.

--- a/tests/integration/chat_test.cpp
+++ b/tests/integration/chat_test.cpp
@@ -117,6 +117,27 @@
   CHECK(good.count(kChat) == 10);
 }
 
+// Guards against an ajuste that runs for a client whose time was up before its request was read.
+TEST_CASE(
+    "Chat: a request whose time was up while the process was held up is refused and reaches no instance") {
+  constexpr std::chrono::milliseconds kDeadline{400}, kHoldUp{700};
+  EventLog seen;
+  ScriptedServer one(answering(seen));
+  const json ajuste = {{"name", "ajuste"}, {"repeat", "never"}, {"deadline_s", kDeadline.count() / 1000.0}};
+  const json consulta = {{"name", "consulta"}, {"repeat", "safe"}, {"deadline_s", 3}};
+  Appliance appliance({one.address()}, {{"classes", {consulta, ajuste}}});
+  const auto client = appliance.connect();
+  appliance.program().send_signal(SIGSTOP);
+  client->send(Appliance::request(Appliance::body("m-ajuste", true)));
+  std::this_thread::sleep_for(kHoldUp);
+  appliance.program().send_signal(SIGCONT);
+  const std::string refused = client->receive_all();
+  CHECK(refused.starts_with("HTTP/1.1 504"));
+  CHECK(contains(refused, "no_box_in_time"));
+  CHECK(seen.count(kChat) == 0);
+  CHECK(appliance.chat(Appliance::body("m-ajuste", true)).starts_with("HTTP/1.1 200"));
+}
+
 // Guards against a client that waits for the time of all its tokens (140 s with the deploy file) because its
 // instance has fallen silent within the answer.
 TEST_CASE("Chat: an instance that falls silent within an answer that is not streamed is given up after 4 s") {
--- a/tests/integration/operations_test.cpp
+++ b/tests/integration/operations_test.cpp
@@ -2,6 +2,7 @@
 // process under load.
 #include <unistd.h>
 
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <cstdlib>
@@ -374,6 +375,44 @@
   CHECK(ids.reserve("stream"));
 }
 
+// Guards against a request whose time begins anew because another process read the stream before it.
+TEST_CASE("A request behind a handed-over stream on its connection is told what is left from its last byte") {
+  constexpr int kRemainingMs = 5000, kSlackMs = 150;
+  constexpr std::chrono::milliseconds kWait{800};
+  EventLog seen;
+  std::atomic<int> told_ms{0};
+  ScriptedServer instance([&](TestConnection& wire) {
+    while (const auto request = wire.receive()) {
+      if (!request->first.starts_with("POST /v1")) {
+        wire.send(plain_response("204 No Content"));
+      } else if (request->headers.at("x-txn") == "stream") {
+        wire.send(stream_head() + chunk("data: 1\n\n"));
+        (void)seen.wait_for("go on", 1, 20000);
+        wire.send(chunk("data: [DONE]\n\n") + "0\r\n\r\n");
+      } else {
+        told_ms = std::stoi(request->headers.at("x-remaining-ms"));
+        wire.send(event_stream({"[DONE]"}));
+      }
+    }
+  });
+  ManagedConductor conductor({{"s", "mixto", instance.address()}}, true);
+  const auto client = conductor.platform.connect();
+  client->send(keep_alive_request("stream"));
+  REQUIRE(client->receive_until("data: 1\n\n").ends_with("data: 1\n\n"));
+  const auto next = next_version(conductor, unique_address());
+  conductor.platform.program().terminate();
+  CHECK(conductor.platform.program().wait() == 0);
+  client->send(keep_alive_request("behind"));
+  std::this_thread::sleep_for(kWait);
+  seen.add("go on");
+  REQUIRE(client->receive_until("0\r\n\r\n").ends_with("0\r\n\r\n"));
+  CHECK(client->receive_until("0\r\n\r\n").ends_with("0\r\n\r\n"));
+  CHECK(told_ms > 0);
+  CHECK(told_ms <= kRemainingMs - kWait.count() + kSlackMs);
+  next->terminate();
+  CHECK(next->wait() == 0);
+}
+
 TEST_CASE("A handed-over stream whose instance fails is cut off without a final chunk") {
   EventLog seen;
   ScriptedServer slow(slow_instance(seen, true));
