Move on to a copy of the store that a suspended process keeps locked

Members of a fleet saw a duty without an owner, and operators' drains answered with 503, for as long as a process was suspended, where docs/duties.md promises the duty to another after lease_s.

Cause: a store call holds SQLite's lock for writing from BEGIN IMMEDIATE to the end of COMMIT (SqliteStore::File::run_transaction), and a lock belongs to its process, suspended or not. Ruled out as a cure: a shorter lock (the moment stays), waking or killing the process (an operator stopped it), a lock that expires (the late writer would damage the file).

The store is now a sequence of files (src/coordination/store_files). Who finds the lock held by a suspended process (/proc/locks, /proc/PID/stat) seals the file, and all go on in a copy. A process looks for the seal after each commit, and copies are made after the seal: a commit that the copy lacks is reported as of unknown outcome, as ownership already handles. A running process that holds the lock is waited for as before ("Fleet: without the store ..." is unchanged).

--- a/src/coordination/sqlite_store.cpp
+++ b/src/coordination/sqlite_store.cpp
@@ -6,8 +6,11 @@
 
 #include <chrono>
 #include <fstream>
+#include <stdexcept>
 #include <utility>
 
+#include "coordination/store_files.hpp"
+
 namespace bankmux::coordination {
 
 namespace {
@@ -51,7 +54,7 @@
 
 class SqliteStore::File {
  public:
-  explicit File(const std::string& path) : path_(path) {}
+  explicit File(const std::string& path) : files_(path) {}
   ~File() { close(); }
   File(const File&) = delete;
   File& operator=(const File&) = delete;
@@ -60,7 +63,7 @@
   template <typename Body>
   void run_transaction(Body body) {
     open();
-    execute_sql("BEGIN IMMEDIATE");
+    begin_transaction();
     try {
       expire_leases();
       body();
@@ -69,7 +72,7 @@
       throw;
     }
     const int code = sqlite3_exec(database_, "COMMIT", nullptr, nullptr, nullptr);
-    if (code == SQLITE_OK) return;
+    if (code == SQLITE_OK) return check_commit();
     const std::string message = sqlite3_errmsg(database_);
     const bool rolled_back = sqlite3_exec(database_, "ROLLBACK", nullptr, nullptr, nullptr) == SQLITE_OK;
     // After any other failed commit it is unknown whether the data reached the disk.
@@ -159,27 +162,61 @@
   void execute_sql(const char* sql) {
     if (sqlite3_exec(database_, sql, nullptr, nullptr, nullptr) != SQLITE_OK) throw_error();
   }
+  // Begins a transaction that may write. A file whose lock is held by a suspended process is sealed, so that
+  // the next call uses the next file.
+  void begin_transaction() {
+    if (sqlite3_exec(database_, "BEGIN IMMEDIATE", nullptr, nullptr, nullptr) == SQLITE_OK) return;
+    if (sqlite3_errcode(database_) != SQLITE_BUSY || !files_.is_locked_by_suspended_process()) throw_error();
+    try {
+      files_.seal();
+    } catch (const std::runtime_error& error) {
+      throw StoreException{FailureKind::not_applied, error.what()};
+    }
+    throw StoreException{FailureKind::not_applied,
+                         "a suspended process holds the lock of " + files_.current() + ", now sealed"};
+  }
+  // A commit to a file that has been sealed may be missing in the next file.
+  void check_commit() {
+    try {
+      if (!files_.is_sealed()) return;
+    } catch (const std::runtime_error& error) {
+      throw StoreException{FailureKind::outcome_unknown, error.what()};
+    }
+    throw StoreException{FailureKind::outcome_unknown, files_.current() + " was sealed during a commit"};
+  }
+  // Closes a file that has been sealed, and moves on to the next one.
+  void leave_sealed_file() {
+    try {
+      if (!files_.is_sealed()) return;
+      close();
+      files_.advance();
+    } catch (const std::runtime_error& error) {
+      throw StoreException{FailureKind::not_applied, error.what()};
+    }
+  }
   void open() {
+    leave_sealed_file();
     if (database_ != nullptr) return;
+    const std::string path = files_.current();
     const mode_t mask = ::umask(0077);  // accessible to the operator only
     const int code =
-        sqlite3_open_v2(path_.c_str(), &database_, SQLITE_OPEN_READWRITE | SQLITE_OPEN_CREATE, nullptr);
+        sqlite3_open_v2(path.c_str(), &database_, SQLITE_OPEN_READWRITE | SQLITE_OPEN_CREATE, nullptr);
     ::umask(mask);
     if (code != SQLITE_OK) {
       const std::string message = database_ != nullptr ? sqlite3_errmsg(database_) : "no memory";
       close();
-      throw StoreException{FailureKind::not_applied, message + ": " + path_};
+      throw StoreException{FailureKind::not_applied, message + ": " + path};
     }
     try {
       sqlite3_busy_timeout(database_, kBusyTimeoutMs);
       execute_sql("PRAGMA journal_mode = WAL");
       // A fencing token must not be issued again after a power failure, since instances remember it.
       execute_sql("PRAGMA synchronous = FULL");
-      execute_sql("BEGIN IMMEDIATE");
+      begin_transaction();
       execute_sql(kSchema);
       const std::int64_t format = meta("format");
       if (format != 0 && format != kFormatVersion) {
-        throw StoreException{FailureKind::rejected, path_ + " is of another version's format"};
+        throw StoreException{FailureKind::rejected, path + " is of another version's format"};
       }
       set_meta("format", kFormatVersion);
       drop_leases_of_earlier_boots();
@@ -216,7 +253,7 @@
     database_ = nullptr;
   }
 
-  std::string path_;
+  StoreFiles files_;
   sqlite3* database_ = nullptr;
 };
 
--- a/tests/fleet/fleet_rig.cpp
+++ b/tests/fleet/fleet_rig.cpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
+#include <fstream>
 #include <stdexcept>
 #include <thread>
 
@@ -12,6 +13,31 @@
 using namespace std::chrono_literals;
 using Clock = std::chrono::steady_clock;
 
+namespace {
+
+// Whether a process holds SQLite's lock for writing (byte 120 of the shared memory) of a file.
+bool holds_write_lock(pid_t process) {
+  std::ifstream locks("/proc/locks");
+  const std::string owner = " WRITE " + std::to_string(process) + ' ';
+  for (std::string line; std::getline(locks, line);) {
+    if (line.find(owner) != std::string::npos && line.ends_with(" 120 120")) return true;
+  }
+  return false;
+}
+
+// Whether all threads of a process are stopped.
+bool is_stopped(pid_t process) {
+  for (const auto& task : std::filesystem::directory_iterator("/proc/" + std::to_string(process) + "/task")) {
+    std::ifstream file(task.path() / "stat");
+    std::string line;
+    std::getline(file, line);
+    if (line.find(") T ") == std::string::npos) return false;
+  }
+  return true;
+}
+
+}  // namespace
+
 Fleet::Fleet(int members, double lease_s) : lease_s_(lease_s) {
   char name[] = "/tmp/bankmux-fleet-XXXXXX";
   if (mkdtemp(name) == nullptr) throw std::runtime_error("no folder");
@@ -59,6 +85,19 @@
   members_[std::size_t(i)].reset();
 }
 
+bool Fleet::suspend_within_store_write(int i) {
+  const pid_t process = member(i).program().pid();
+  const auto end = Clock::now() + 20s;
+  while (Clock::now() < end) {
+    if (!holds_write_lock(process)) continue;
+    signal(i, SIGSTOP);
+    while (!is_stopped(process)) std::this_thread::yield();
+    if (holds_write_lock(process)) return true;
+    signal(i, SIGCONT);
+  }
+  return false;
+}
+
 json Fleet::duties(int i) {
   if (!is_running(i)) return json::object();
   const std::string text = member(i).page("GET", "/-/duties");
@@ -69,6 +108,11 @@
   return all;
 }
 
+std::string Fleet::instance_state(int i) {
+  const std::string text = member(i).page("GET", "/-/status");
+  return json_body(text).at("boxes")[0].at("state").get<std::string>();
+}
+
 void Fleet::check_page(int i, const json& duties) {
   for (const json& row : duties.at("duties")) {
     if (!row.contains("token") || row.at("owner").is_null()) continue;
--- a/tests/fleet/fleet_rig.hpp
+++ b/tests/fleet/fleet_rig.hpp
@@ -28,12 +28,17 @@
   void start(int i);
   void kill(int i);  // with SIGKILL
   void signal(int i, int number) { member(i).program().send_signal(number); }
+  // Suspends member `i` at a moment at which it holds the write lock of the store's first file. False if
+  // there is no such moment in time.
+  [[nodiscard]] bool suspend_within_store_write(int i);
   [[nodiscard]] bool is_running(int i) const { return members_[std::size_t(i)] != nullptr; }
   [[nodiscard]] integration::Appliance& member(int i) { return *members_[std::size_t(i)]; }
   [[nodiscard]] int size() const { return int(members_.size()); }
 
   // The member's duties page; an empty object if the member does not answer.
   json duties(int i);
+  // The state of the first instance on the member's status page.
+  std::string instance_state(int i);
   // The members, among those that answer, that hold a grant for the prober's duty at this moment.
   std::vector<int> owners(const std::set<int>& excluded = {});
   // Waits until there is exactly one owner, which is not `other_than`, and returns it; -1 if there is none in
--- a/tests/fleet/ownership_test.cpp
+++ b/tests/fleet/ownership_test.cpp
@@ -100,6 +100,26 @@
   check_no_violations(fleet);
 }
 
+// Guards against a store that stays locked, and duties that nobody can claim, for as long as a process is
+// suspended within a write.
+TEST_CASE("Fleet: an owner that is suspended within a write to the store is replaced and moves on with it") {
+  Fleet fleet(3);
+  const int first = fleet.wait_for_owner();
+  REQUIRE(first >= 0);
+  const auto token = fleet.newest_token();
+  REQUIRE(fleet.suspend_within_store_write(first));
+  const int second = fleet.wait_for_owner(first, 10'000, {first});
+  REQUIRE(second >= 0);
+  CHECK(fleet.newest_token() > token);
+  CHECK(fleet.member(second).page("POST", "/-/boxes/b1/drain").starts_with("HTTP/1.1 204"));
+  const std::string draining = fleet.instance_state(second);
+  fleet.signal(first, SIGCONT);
+  fleet.observe(1500);
+  CHECK(fleet.instance_state(first) == draining);
+  CHECK(fleet.chat(first) == 200);
+  check_no_violations(fleet);
+}
+
 TEST_CASE("Fleet: an owner that shuts down hands over without waiting for its lease to expire") {
   Fleet fleet(3, 20.0);  // far longer than the test
   const int first = fleet.wait_for_owner();
@@ -112,10 +132,7 @@
 TEST_CASE("Fleet: an operator's drain at one process applies to all and survives restarts") {
   Fleet fleet(3);
   REQUIRE(fleet.wait_for_owner() >= 0);
-  const auto state = [&fleet](int i) {
-    const std::string text = fleet.member(i).page("GET", "/-/status");
-    return integration::json_body(text).at("boxes")[0].at("state").get<std::string>();
-  };
+  const auto state = [&fleet](int i) { return fleet.instance_state(i); };
   const auto all_report = [&](const std::string& expected) {
     for (int tries = 0; tries < 200; ++tries) {
       int reporting = 0;
--- a/tests/ownership_test.cpp
+++ b/tests/ownership_test.cpp
@@ -1,12 +1,16 @@
 // Tests of single ownership: the protocol over an in-memory store, and the SQLite store.
 #include "ownership/ownership.hpp"
 
+#include <sqlite3.h>
+
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <cstdio>
 #include <filesystem>
 #include <thread>
 
 #include "coordination/sqlite_store.hpp"
+#include "coordination/store_files.hpp"
 #include "drawn_settings.hpp"
 #include "memory_store.hpp"
 #include "net/loop/mailbox.hpp"
@@ -348,6 +352,29 @@
   }
 };
 
+// Seals and copies a store's file at the last moment before a commit, as another process may.
+struct SealAtCommit {
+  static inline SealAtCommit* current = nullptr;
+  coordination::StoreFiles files;
+  std::atomic<bool> armed = false;
+  explicit SealAtCommit(const std::string& path) : files(path) {
+    current = this;
+    sqlite3_auto_extension(reinterpret_cast<void (*)()>(install));
+  }
+  ~SealAtCommit() { sqlite3_cancel_auto_extension(reinterpret_cast<void (*)()>(install)); }
+  // Called for each connection that is opened.
+  static int install(sqlite3* database, char** /*error*/, const struct sqlite3_api_routines* /*routines*/) {
+    sqlite3_commit_hook(database, on_commit, nullptr);
+    return SQLITE_OK;
+  }
+  static int on_commit(void* /*context*/) {
+    if (!current->armed.exchange(false)) return 0;
+    current->files.seal();
+    current->files.advance();
+    return 0;
+  }
+};
+
 }  // namespace
 
 TEST_CASE("The SQLite store behaves like the in-memory store whichever of two processes calls") {
@@ -406,6 +433,55 @@
   }
 }
 
+// Guards against contents that are lost when the store moves on to the next file.
+TEST_CASE("The SQLite store goes on in a copy when its file is sealed, time and again") {
+  TemporaryStore files;
+  Client one(files.path), two(files.path);
+  coordination::StoreFiles sealer(files.path);
+  std::uint64_t revision = two.transact({{}, {coordination::Put{"kept", "v", 0}}, {}}).revision;
+  for (int i = 0; i < 4; ++i) {
+    sealer.seal();
+    const std::string key = "k" + std::to_string(i);
+    Client& writer = i % 2 == 0 ? one : two;
+    Client& reader = i % 2 == 0 ? two : one;
+    const auto written = writer.transact({{}, {coordination::Put{key, "v", 0}}, {}});
+    CHECK_FALSE(written.failure);
+    CHECK(written.revision == revision + 1);
+    const auto read = reader.transact({{}, {}, {""}});
+    CHECK_FALSE(read.failure);
+    CHECK(read.revision == written.revision);
+    CHECK(read.entries.size() == std::size_t(i) + 2);
+    revision = read.revision;
+    sealer.advance();
+  }
+  CHECK(sealer.current() == files.path + ".4");
+  Client late(files.path);
+  CHECK(late.transact({{}, {}, {""}}).revision == revision);
+  // The file in use and the one before it are left, each with its companions, and the seals.
+  CHECK_FALSE(std::filesystem::exists(files.path + ".2"));
+  CHECK(std::filesystem::exists(files.path + ".2.sealed"));
+}
+
+// Guards against a commit that is reported as applied and is missing in the next file.
+TEST_CASE("The SQLite store reports a commit to a file that was sealed meanwhile as of unknown outcome") {
+  TemporaryStore files;
+  SealAtCommit seal_at_commit(files.path);
+  Client client(files.path);
+  const auto before = client.transact({{}, {coordination::Put{"kept", "v", 0}}, {}});
+  CHECK_FALSE(before.failure);
+  seal_at_commit.armed = true;
+  const auto result = client.transact({{}, {coordination::Put{"lost", "v", 0}}, {""}});
+  CHECK_FALSE(seal_at_commit.armed);
+  CHECK(result.failure == coordination::FailureKind::outcome_unknown);
+  CHECK_FALSE(result.applied);
+  CHECK(result.entries.empty());
+  const auto after = client.transact({{}, {}, {""}});
+  CHECK_FALSE(after.failure);
+  CHECK(after.revision == before.revision);
+  REQUIRE(after.entries.size() == 1);
+  CHECK(after.entries[0].key == "kept");
+}
+
 TEST_CASE("The SQLite store expires a lease with all keys attached to it, and notifies watchers of changes") {
   TemporaryStore files;
   Client one(files.path), two(files.path);
