Say in the tests which program could not be started, and why

A suite that ran while its program was being linked again failed in Conformance with a leak report of the rig (six times the actions of posix_spawn), and without the reason: Program's constructor threw before it had freed them, and did not say which program and error.

--- a/tests/integration/peers.cpp
+++ b/tests/integration/peers.cpp
@@ -15,6 +15,7 @@
 #include <chrono>
 #include <csignal>
 #include <cstdio>
+#include <cstring>
 #include <fstream>
 #include <iterator>
 #include <stdexcept>
@@ -262,11 +263,10 @@
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, path_.c_str(), O_WRONLY | O_TRUNC, 0);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-  if (posix_spawn(&pid_, program.c_str(), &actions, nullptr, pointers(arguments).data(),
-                  pointers(variables).data()) != 0) {
-    throw std::runtime_error("cannot start the program");
-  }
+  const int error = posix_spawn(&pid_, program.c_str(), &actions, nullptr, pointers(arguments).data(),
+                                pointers(variables).data());
   posix_spawn_file_actions_destroy(&actions);
+  if (error != 0) throw std::runtime_error("cannot start " + program + ": " + std::strerror(error));
 }
 
 Program::~Program() {
