Move the limit on what all clients hold into a class of its own

MemoryBudget (src/net/loop) has what HttpServer::limit_held_bytes and stalest_holder did: a total over all holders, and the choice of the one that gives up what it holds. Behaviour stays, except that holders are counted as their phase changes instead of on each search. Tests: "Memory: ..." unchanged but for heap_bytes(), which moves into a header.

--- a/src/net/http/http_connection.cpp
+++ b/src/net/http/http_connection.cpp
@@ -85,6 +85,7 @@
     : server_(server),
       stream_(bufferevent_socket_new(server.loop_.base(), socket, BEV_OPT_CLOSE_ON_FREE)),
       parser_(server.limits_.max_body_bytes),
+      memory_(server.memory_, [this] { shed_input(); }),
       phase_start_(server.loop_.now()),
       last_input_(phase_start_),
       waiting_since_(server.backlog_since_) {
@@ -117,8 +118,13 @@
   if (incoming_ != nullptr) incoming_->on_connection_lost();
 }
 
-void HttpConnection::enter_phase(Phase phase) {
+void HttpConnection::set_phase(Phase phase) {
   phase_ = phase;
+  set_held_bytes(request_bytes_, input_bytes_);
+}
+
+void HttpConnection::enter_phase(Phase phase) {
+  set_phase(phase);
   phase_start_ = server_.loop_.now();
 }
 
@@ -208,11 +214,11 @@
     set_held_bytes(request_bytes_, buffered_input());
     if (buffered_input() >= kMaxReadAheadBytes) drop_input();
     if (discarded_bytes_ > server_.limits_.max_discarded_bytes) return server_.close(*this);
-    return server_.limit_held_bytes();
+    return server_.memory_.enforce();
   }
   if (evbuffer_get_length(input) == 0) return;
   if (phase_ == Phase::idle) enter_phase(Phase::reading);
-  phase_ = Phase::reading;
+  set_phase(Phase::reading);
   last_input_ = server_.loop_.now();
   const std::size_t size = evbuffer_get_length(input);
   const char* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
@@ -222,7 +228,7 @@
   if (parser_.state() == MessageParser::State::bad) return send_error(parser_.error_status());
   // Bounds memory: all requests together, from their first byte until they are answered.
   set_held_bytes(parser_.held_bytes() + body_.size(), buffered_input());
-  server_.limit_held_bytes();
+  server_.memory_.enforce();
   if (phase_ != Phase::reading) return;
   if (parser_.state() == MessageParser::State::done) return dispatch_request();
   if (!had_head && parser_.state() == MessageParser::State::body && parser_.expects_continue()) {
@@ -233,7 +239,7 @@
 }
 
 void HttpConnection::dispatch_request(bool complete) {
-  phase_ = Phase::answering;
+  set_phase(Phase::answering);
   close_after_response_ = !parser_.keep_alive() || !complete;
   chunked_ = !parser_.is_http_1_0();
   omit_body_ = parser_.method() == "HEAD";
@@ -246,11 +252,6 @@
   return evbuffer_get_length(bufferevent_get_input(stream_.get()));
 }
 
-std::size_t HttpConnection::sheddable_bytes() const {
-  if (phase_ == Phase::reading) return request_bytes_ + input_bytes_;
-  return phase_ == Phase::answering ? input_bytes_ : 0;
-}
-
 void HttpConnection::shed_input() {
   if (phase_ == Phase::reading) return send_error(503, {{"Retry-After", "1"}});
   drop_input();
@@ -265,7 +266,7 @@
 
 // Answers a request that is not passed to the handler, with an error of the server.
 void HttpConnection::send_error(int status, Headers more) {
-  phase_ = Phase::answering;
+  set_phase(Phase::answering);
   close_after_response_ = true;
   const bool omit_body = parser_.method() == "HEAD";
   // Assigning empty strings would keep the memory of the old ones until the connection ends.
@@ -309,10 +310,12 @@
 }
 
 void HttpConnection::set_held_bytes(std::size_t request, std::size_t input) {
-  server_.held_bytes_ += request + input;
-  server_.held_bytes_ -= request_bytes_ + input_bytes_;
   request_bytes_ = request;
   input_bytes_ = input;
+  std::size_t can_shed = 0;
+  if (phase_ == Phase::reading) can_shed = request + input;
+  if (phase_ == Phase::answering) can_shed = input;
+  memory_.set(request + input, can_shed, last_input_);
   if (input > 0 && !waiting_since_) waiting_since_ = server_.sweep_before_;
 }
 
--- a/src/net/http/http_connection.hpp
+++ b/src/net/http/http_connection.hpp
@@ -41,11 +41,6 @@
   [[nodiscard]] core::Duration input_age() const;
   // The longest time for which input of this connection may have been there unread.
   [[nodiscard]] core::Duration longest_unread_time() const;
-  // Bytes held here that no handler has been given: part of a request, or input behind an open one.
-  [[nodiscard]] std::size_t sheddable_bytes() const;
-  // Frees these bytes: a request that is being read is refused, and input behind an open one is dropped,
-  // after whose answer the connection closes.
-  void shed_input();
   // Continues a response stream of another process; `unsent` is output that the client has not been sent yet.
   void resume_stream(bool chunked, bool last, std::string_view unsent);
 
@@ -67,9 +62,14 @@
   // Whether the client has received all output and has sent nothing more: no reset by the close could destroy
   // any of it. The kernel delivers the end of the stream also after the close.
   [[nodiscard]] bool close_is_harmless() const;
-  void enter_phase(Phase phase);
-  // Updates what this connection holds and the server's total.
+  void set_phase(Phase phase);
+  void enter_phase(Phase phase);  // and restarts its time
+  // Updates what this connection holds: the head and body of the current request with what it has reserved,
+  // and the buffered input behind it.
   void set_held_bytes(std::size_t request, std::size_t input);
+  // Frees what no handler has been given: a request that is being read is refused, and input behind an open
+  // one is dropped, after whose answer the connection closes.
+  void shed_input();
   [[nodiscard]] std::size_t buffered_input() const;
   void drop_input();
 
@@ -77,9 +77,8 @@
   BufferEventPtr stream_;
   RequestParser parser_;
   std::string body_;
-  // Included in HttpServer::held_bytes_: the head and body of the current request with what it has reserved,
-  // and the buffered input behind it.
-  std::size_t request_bytes_ = 0, input_bytes_ = 0;
+  std::size_t request_bytes_ = 0, input_bytes_ = 0;  // see set_held_bytes
+  MemoryBudget::Account memory_;
   IncomingRequest* incoming_ = nullptr;
   Phase phase_ = Phase::silent;
   core::Time phase_start_;  // start of the phase; for the first request, reading counts from accept
--- a/src/net/http/http_server.cpp
+++ b/src/net/http/http_server.cpp
@@ -63,6 +63,7 @@
       limits_(limits),
       hooks_(std::move(hooks)),
       own_socket_(std::holds_alternative<std::string>(endpoint)),
+      memory_(limits.held_bytes),
       last_sweep_(loop.now()),
       sweep_before_(last_sweep_) {
   if (limits_.discard_bytes_per_s > 0) {
@@ -123,33 +124,6 @@
   return candidate != nullptr;
 }
 
-void HttpServer::limit_held_bytes() {
-  while (held_bytes_ > limits_.held_bytes) {
-    HttpConnection* const holder = stalest_holder();
-    if (holder == nullptr) return;
-    holder->shed_input();
-  }
-}
-
-// Of the connections that hold at least half of the mean, the one that has sent nothing for the longest time.
-// This spares small requests, and large ones that are still arriving.
-HttpConnection* HttpServer::stalest_holder() const {
-  std::size_t total = 0, holders = 0;
-  for (const auto& [connection, owner] : connections_) {
-    total += connection->sheddable_bytes();
-    holders += connection->sheddable_bytes() > 0 ? 1 : 0;
-  }
-  if (holders == 0) return nullptr;
-  const core::Time now = loop_.now();
-  HttpConnection* stalest = nullptr;
-  for (const auto& [connection, owner] : connections_) {
-    if (connection->sheddable_bytes() * holders * 2 < total) continue;
-    if (stalest == nullptr || connection->time_without_input(now) > stalest->time_without_input(now))
-      stalest = connection;
-  }
-  return stalest;
-}
-
 // Times out connections whose phase has lasted too long, and re-enables the listener when there is room.
 void HttpServer::sweep() {
   const core::Time now = loop_.now();
--- a/src/net/http/http_server.hpp
+++ b/src/net/http/http_server.hpp
@@ -16,6 +16,7 @@
 #include "config/address.hpp"
 #include "net/http/request_parser.hpp"
 #include "net/loop/loop.hpp"
+#include "net/loop/memory_budget.hpp"
 
 namespace bankmux::net {
 
@@ -155,10 +156,6 @@
   bool evict_connection();
   // Stops accepting until the next sweep finds room; what arrives waits in the kernel's backlog.
   void pause_accepting();
-  // Above the limit of held bytes, takes input from connections that hold much of it.
-  void limit_held_bytes();
-  // The connection whose input is dropped first; null if no connection holds input that may be dropped.
-  [[nodiscard]] HttpConnection* stalest_holder() const;
   void sweep();
   void close(HttpConnection& connection);
 
@@ -169,7 +166,7 @@
   std::unique_ptr<ev_token_bucket_cfg, Deleter<ev_token_bucket_cfg_free>> discard_rate_;
   bool own_socket_;
   bool closing_after_responses_ = false;
-  std::size_t held_bytes_ = 0;                                              // see ServerLimits::held_bytes
+  MemoryBudget memory_;  // see ServerLimits::held_bytes; outlives the connections
   std::map<HttpConnection*, std::unique_ptr<HttpConnection>> connections_;  // all connections, from accept on
   ListenerPtr listener_;
   std::unique_ptr<core::Timer> sweep_timer_;
--- a/src/net/http/incoming_request.cpp
+++ b/src/net/http/incoming_request.cpp
@@ -46,8 +46,7 @@
 }
 
 bool IncomingRequest::reserve_bytes(std::size_t bytes) {
-  HttpServer& server = connection_->server_;
-  if (server.held_bytes_ + bytes > server.limits_.held_bytes) return false;
+  if (!connection_->server_.memory_.has_room_for(bytes)) return false;
   connection_->set_held_bytes(connection_->request_bytes_ + bytes, connection_->input_bytes_);
   return true;
 }
--- a/tests/integration/server_memory_test.cpp
+++ b/tests/integration/server_memory_test.cpp
@@ -1,21 +1,15 @@
 // The memory that clients can make HttpServer hold, measured at the heap while many of them send at once.
-#include <malloc.h>
-
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "heap.hpp"
 #include "net/http/http_server.hpp"
 #include "net/loop/loop.hpp"
 #include "peers.hpp"
 
-#ifdef __SANITIZE_ADDRESS__
-// Declared here, because GCC does not install the header for all machines.
-extern "C" std::size_t __sanitizer_get_current_allocated_bytes();
-#endif
-
 using namespace bankmux;
 using namespace integration;
 
@@ -30,15 +24,6 @@
 constexpr std::size_t kHeapLimit = 2 * kHeldLimit + kClients * kConnectionBytes;
 constexpr int kLoopTurns = 40;  // a connection reads 16 KiB in each
 
-std::size_t heap_bytes() {
-#ifdef __SANITIZE_ADDRESS__
-  return __sanitizer_get_current_allocated_bytes();
-#else
-  const auto heap = mallinfo2();
-  return heap.uordblks + heap.hblkhd;
-#endif
-}
-
 // A server that answers requests for `/now` at once and keeps all others open.
 struct CrowdedServer {
   net::Loop loop;
