Bound the memory that the answers of all instances hold together

Each answer that is held until it or its event is whole had a limit of its own: 1 MiB for a body on the platform (errors, and the 202 of a prefill), 16 MiB for one that is not streamed on the chat front, 2 MiB for an event. Their sum had none: 64 instances whose answers do not end made a process hold 67 MB, in each of the three forms, and 170 may be open at 32 MB and 512 descriptors.

Exchange counts the head of its response and what its handler holds (body, first event, incomplete event, the scanner's line), as allocated, to one budget of the pool: a fifth of memory_mb. Above it, of the answers that hold at least half of the mean, the one that has received nothing for the longest time ends as broken, as one over its own limit did before. A stream that is passed on as it comes is not given up for its head, and a complete answer not at all.

--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -59,6 +59,7 @@
 // How many of each resource the process may hold, so that neither descriptors nor memory run out.
 struct ResourceLimits {
   std::size_t instances, requests;
+  std::size_t answer_bytes;  // of all answers together
   net::ServerLimits clients;
   ResourceLimits(std::size_t sockets, std::size_t memory_mb) {
     const std::size_t available = sockets > 2 * kReservedSockets ? sockets - kReservedSockets : sockets / 2;
@@ -72,6 +73,7 @@
     // Up to three copies of a body exist for a moment: the one read, the one kept for the next attempt and
     // the one being sent.
     clients.held_bytes = memory_mb * 1024 * 1024 / 5;
+    answer_bytes = memory_mb * 1024 * 1024 / 5;
     // All streams at once, if none of their clients reads.
     clients.unsent_bytes =
         std::clamp(memory_mb * 1024 * 1024 / 5 / requests, kMinUnsentBytes, clients.unsent_bytes);
@@ -97,7 +99,7 @@
 // would be lost.
 net::PoolLimits pool_limits(core::Duration connect, core::Duration idle,
                             const ResourceLimits& resource_limits) {
-  return {connect, idle * 4 / 5, resource_limits.instances};
+  return {connect, idle * 4 / 5, resource_limits.instances, resource_limits.answer_bytes};
 }
 
 // Allows for bodies of megabytes, which take time to upload. A client that sends too large a body reads its
--- a/src/net/instances/instance_client.cpp
+++ b/src/net/instances/instance_client.cpp
@@ -247,6 +247,19 @@
     }
     events_.on_ended(std::move(result));  // last: it may destroy this object
   }
+  [[nodiscard]] std::size_t held_bytes() const override {
+    if (answer_complete_) return 0;
+    return sse::allocated_bytes(body_) + sse::allocated_bytes(unsent_prefix_) + splitter_.held_bytes() +
+           scanner_.held_bytes();
+  }
+  void release_held_bytes() override {
+    too_large_ = true;
+    end_timer_.reset();
+    static_cast<void>(std::exchange(body_, {}));
+    static_cast<void>(std::exchange(unsent_prefix_, {}));
+    static_cast<void>(std::exchange(splitter_, sse::EventSplitter{kMaxEventBytes}));
+    static_cast<void>(std::exchange(scanner_, {}));
+  }
   // A stream where a JSON object was requested, or the reverse.
   [[nodiscard]] bool has_wrong_content_type() const {
     const ResponseParser& response = exchange_.response();
@@ -327,6 +340,8 @@
   void on_body(std::string bytes) override {
     if (body_.size() < kMaxBodyBytes) body_ += bytes;
   }
+  [[nodiscard]] std::size_t held_bytes() const override { return sse::allocated_bytes(body_); }
+  void release_held_bytes() override { static_cast<void>(std::exchange(body_, {})); }
   void on_end(bool complete) override {
     const Done done = std::move(done_);
     timeout_.reset();
--- a/src/net/instances/instance_pool.cpp
+++ b/src/net/instances/instance_pool.cpp
@@ -60,7 +60,8 @@
       address_(std::move(address)),
       head_(std::move(head)),
       body_(std::move(body)),
-      events_(events) {
+      events_(events),
+      memory_(pool.memory_, [this] { give_up(); }) {
   is_attempt_ = body_ != nullptr;
   if (!terms.new_connection && pool_.may_reuse(terms.failure_harmless)) {
     connection_ = pool_.take_idle(address_, terms.failure_harmless);
@@ -85,7 +86,8 @@
       connection_(bufferevent_socket_new(pool.loop_.base(), descriptor, BEV_OPT_CLOSE_ON_FREE)),
       is_attempt_(true),
       response_started_(true),
-      progress_(Progress::streaming) {
+      progress_(Progress::streaming),
+      memory_(pool.memory_, [this] { give_up(); }) {
   if (!connection_) {
     evutil_closesocket(descriptor);
     throw std::runtime_error("no buffer for a connection");
@@ -237,13 +239,31 @@
     events_.on_body(std::move(body));
     if (watch.destroyed()) return;
   }
-  if (parser_.state() != ResponseParser::State::done) return;
+  update_memory();
+  pool_.memory_.enforce();
+  if (connection_ == nullptr || parser_.state() != ResponseParser::State::done) return;
   if (pool_.may_reuse(true) && parser_.keep_alive() && used == bytes.size() && !early) {
     pool_.add_idle(address_, std::move(connection_), is_attempt_);
   }
   finish(true);
 }
 
+void Exchange::update_memory() {
+  const std::size_t answer = events_.held_bytes();
+  const std::size_t held = parser_.held_bytes() + answer;
+  // A stream that is passed on as it comes is not given up for its head.
+  memory_.set(held, answer > 0 || !parser_.has_head() ? held : 0, pool_.loop_.now());
+}
+
+// Another exchange may be on the call stack, so the end is reported from the loop.
+void Exchange::give_up() {
+  progress_ = progress();
+  close();
+  parser_ = ResponseParser();
+  events_.release_held_bytes();
+  timeout_ = pool_.loop_.at(pool_.loop_.now(), [this] { finish(false); });
+}
+
 void Exchange::on_closed() {
   // Input that arrived together with the close is read first.
   if (connection_ != nullptr && evbuffer_get_length(bufferevent_get_input(connection_.get())) > 0) {
--- a/src/net/instances/instance_pool.hpp
+++ b/src/net/instances/instance_pool.hpp
@@ -12,6 +12,7 @@
 #include "net/http/response_parser.hpp"
 #include "net/loop/destruction_watch.hpp"
 #include "net/loop/loop.hpp"
+#include "net/loop/memory_budget.hpp"
 
 namespace bankmux::net {
 
@@ -19,6 +20,9 @@
   core::Duration connect_timeout{250'000};  // time limit for a new connection
   core::Duration idle_timeout{12'000'000};  // must be below the instances' own idle timeout
   std::size_t connections = 450;            // open at once, idle ones included
+  // Bytes that all answers hold at once: heads, and bodies or events that are not complete. Above it, answers
+  // that hold much and have fallen silent are given up.
+  std::size_t held_bytes = 32 * 1024 * 1024;
 };
 
 class InstancePool;
@@ -36,6 +40,10 @@
     virtual void on_written() = 0;
     virtual void on_body(std::string bytes) = 0;  // the response head is complete by then
     virtual void on_end(bool complete) = 0;
+    // Memory in bytes that the handler holds of an answer that is not complete, and its release, after which
+    // only on_end follows.
+    [[nodiscard]] virtual std::size_t held_bytes() const { return 0; }
+    virtual void release_held_bytes() {}
   };
 
   // Produces the request head, or a whole request without a body. Called once, before the first byte is
@@ -74,6 +82,9 @@
   void on_closed();
   void finish(bool complete);
   void close();
+  void update_memory();
+  // Gives up the answer and frees what it holds.
+  void give_up();
 
   InstancePool& pool_;
   std::string address_;
@@ -88,12 +99,13 @@
   bool reused_ = false;
   bool response_started_ = false;  // some bytes of a response have arrived
   core::Progress progress_ = core::Progress::not_connected;
+  MemoryBudget::Account memory_;
   DestructionFlag destruction_;
 };
 
 class InstancePool {
  public:
-  InstancePool(Loop& loop, PoolLimits limits) : loop_(loop), limits_(limits) {}
+  InstancePool(Loop& loop, PoolLimits limits) : loop_(loop), limits_(limits), memory_(limits.held_bytes) {}
   ~InstancePool();
   InstancePool(const InstancePool&) = delete;
   InstancePool& operator=(const InstancePool&) = delete;
@@ -127,7 +139,8 @@
   // answer, as of `reuse_updated_`.
   double reuse_successes_ = 0.0, reuse_failures_ = 0.0;
   core::Time reuse_updated_{0};
-  std::size_t open_ = 0;                         // including idle ones
+  std::size_t open_ = 0;  // including idle ones
+  MemoryBudget memory_;
   std::map<std::string, std::list<Idle>> idle_;  // most recently used first
 };
 
--- a/src/sse/event_splitter.hpp
+++ b/src/sse/event_splitter.hpp
@@ -16,6 +16,12 @@
   return cr != std::string_view::npos ? cr : lf;
 }
 
+// Memory in bytes that a string has allocated; none for a short one.
+[[nodiscard]] inline std::size_t allocated_bytes(const std::string& text) {
+  const std::size_t capacity = text.capacity();
+  return capacity > std::string().capacity() ? capacity : 0;
+}
+
 // Buffers at most one incomplete event between calls.
 class EventSplitter {
  public:
@@ -51,6 +57,8 @@
     return !too_long_;
   }
 
+  // Memory in bytes that an incomplete event takes.
+  [[nodiscard]] std::size_t held_bytes() const { return allocated_bytes(partial_event_); }
   // Whether an incomplete event is buffered.
   [[nodiscard]] bool within_event() const { return !partial_event_.empty(); }
 
--- a/src/sse/stream_scanner.hpp
+++ b/src/sse/stream_scanner.hpp
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "eiderarch/router.hpp"
+#include "sse/event_splitter.hpp"
 
 namespace bankmux::sse {
 
@@ -24,6 +25,8 @@
   [[nodiscard]] State state() const { return {line_, data_, data_lines_, skip_line_, after_cr_, failed_}; }
 
   void feed(std::string_view bytes);
+  // Memory in bytes that an incomplete line and the current event take.
+  [[nodiscard]] std::size_t held_bytes() const { return allocated_bytes(line_) + allocated_bytes(data_); }
   // Prompt tokens that the instance's KV cache already held, as reported in the usage; 0: none reported.
   [[nodiscard]] eiderarch::Tokens reported_cached_tokens() const { return reported_cached_tokens_; }
   // The last load report, which instances send as a comment line; empty if there was none.
