Bound the values of a list, and keep only the usage of an answer that is parsed

A line of discovery had 4 MiB, and its values were counted only after it had been parsed: 4 MB of "0," took a process from 6 to 131 MB resident (32 MB allowed). So did, in small, an answer whose usage was read from a tree of all of it (1 MiB; chat: 16 MiB).

A line has at most 2 MiB (512 bytes for each of 4,096 instances) and 49,152 values (12 for each; an instance has nine fields), counted before it is parsed. sse::cached_tokens drops all but the usage while it parses.

Tests: "A list with more values ..." fails on the program before (the list was taken, and left no instance), and shows that the longest list is still accepted; "Cached tokens are read from an answer without its other contents" holds the result (no test of its memory).

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -24,11 +24,6 @@
                                             "cell",       "kind",  "weight",
                                             "started_ms", 1000.0,  {"SERVING", "DRAINING", "DELETED"}};
 
-// Entries in one list. A site has 10 to 13 instances and a large fleet 60. Each entry costs every conductor
-// memory for as long as it runs, and the module examines all entries for each request, so that a longer list
-// is rejected as an error.
-constexpr std::size_t kMaxListEntries = 4096;
-
 // Returns the environment variable's value if it is set, otherwise the document's; empty if neither is given
 // and the value is not `needed`.
 std::string text_or_environment(const Fields& f, const char* key, const Environment& environment,
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -53,6 +53,9 @@
   std::uint64_t version = 0;
   core::FleetUpdate update;
 };
+// Entries in one list. Each entry costs every conductor memory for as long as it runs, and the module
+// examines all entries for each request, so that a longer list is rejected as an error.
+constexpr std::size_t kMaxListEntries = 4096;
 // Throws eiderarch::wire::MalformedInput.
 DiscoveryMessage parse_discovery_message(const nlohmann::json& message, const std::vector<std::string>& zones,
                                          const std::vector<std::string>& kinds);
--- a/src/net/platform/discovery_watch.cpp
+++ b/src/net/platform/discovery_watch.cpp
@@ -23,7 +23,15 @@
 // Silence of a working watch is noticed after 3 s, and the changes it misses must take effect within 6 s. The
 // whole fleet therefore reopens within this time, even if refusals would call for longer waits.
 constexpr core::Duration kMaxReopenDelay = 1500ms;
-constexpr std::size_t kMaxLineBytes = 4 * 1024 * 1024;
+constexpr std::size_t kMaxLineBytes = config::kMaxListEntries * 512;
+// Of a list of the maximum number of instances, which have nine fields each. A parsed value takes many times
+// the memory of its text.
+constexpr std::size_t kMaxListValues = config::kMaxListEntries * 12;
+
+// Number of values in a JSON text, counted from above: characters within strings count as well.
+std::size_t count_values(std::string_view text) {
+  return std::size_t(std::ranges::count_if(text, [](char c) { return c == ',' || c == '[' || c == '{'; }));
+}
 
 }  // namespace
 
@@ -138,7 +146,8 @@
   const bool keep_alive_line = !line_complete && splitter_.pending_bytes() == 0;
   if (keep_alive_line) on_update_(core::FleetUpdate{});
   if (splitter_.pending_bytes() > kMaxLineBytes) {
-    log::write("discovery", "line exceeds 4 MiB without an end; reopening the watch");
+    log::write("discovery", "line exceeds " + std::to_string(kMaxLineBytes) +
+                                " bytes without an end; reopening the watch");
     splitter_.clear();
     schedule_reopen(kDelayAfterMalformed);
   }
@@ -147,6 +156,9 @@
 // A malformed line leaves the list unchanged; the watch is reopened from the last valid version.
 void DiscoveryWatch::on_line(const std::string& text) {
   try {
+    if (count_values(text) > kMaxListValues) {
+      throw eiderarch::wire::MalformedInput("has more than " + std::to_string(kMaxListValues) + " values");
+    }
     config::DiscoveryMessage message =
         config::parse_discovery_message(eiderarch::wire::parse_object(text), config_.zones, config_.kinds);
     version_ = message.version;
--- a/src/sse/stream_scanner.cpp
+++ b/src/sse/stream_scanner.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr int kMaxUsageDepth = 3;                 // of objects in an answer: the usage, and its details
 constexpr std::size_t kMaxLineBytes = 64 * 1024;  // longer lines are not inspected
 constexpr int kMaxDataLines = 64;
 
@@ -33,7 +34,13 @@
 }  // namespace
 
 std::optional<eiderarch::Tokens> cached_tokens(std::string_view text) {
-  const json value = json::parse(text, nullptr, false);
+  // Keeps only what is read below: an answer takes many times its length as parsed JSON.
+  const auto keep = [](int depth, json::parse_event_t event, const json& parsed) {
+    if (event == json::parse_event_t::key && depth == 1)
+      return parsed == "cached_tokens" || parsed == "usage";
+    return event != json::parse_event_t::array_start && depth <= kMaxUsageDepth;
+  };
+  const json value = json::parse(text, keep, false);
   if (!value.is_object()) return std::nullopt;
   if (value.contains("cached_tokens")) return integer_or_zero(value, "cached_tokens");
   const auto usage = value.find("usage");
--- a/tests/integration/platform_protocol_test.cpp
+++ b/tests/integration/platform_protocol_test.cpp
@@ -342,6 +342,33 @@
   CHECK(platform.ask(client_request("d1", "consulta", 5000, 100)).starts_with("HTTP/1.1 200"));
 }
 
+// Guards against conductors killed for memory by a list: parsed values take many times the memory of their
+// text.
+TEST_CASE("A list with more values than the longest one has is refused, and the longest one is accepted") {
+  constexpr int kMaxEntries = 4096;
+  EventLog seen;
+  ScriptedServer one(scripted_instance(seen, [](TestConnection& wire, const Message&) {
+    wire.send(event_stream({"[DONE]"}));
+    return true;
+  }));
+  const Platform::Instance w1{"w1", "mixto", one.address()};
+  Platform platform({w1});
+  REQUIRE(platform.watches.wait_for("GET /api/targets?follow=1&since=1 HTTP/1.1"));
+  std::string values = "0";
+  for (int i = 0; i < 13 * kMaxEntries; ++i) values += ",0";
+  platform.push("{\"version\":2,\"full\":true,\"servers\":[],\"more\":[" + values + "]}");
+  // The list would be valid otherwise, and leave no instance.
+  REQUIRE(platform.watches.wait_for("GET /api/targets?follow=1&since=1 HTTP/1.1", 2));
+  CHECK(platform.ask(client_request("a1", "consulta", 5000, 100)).starts_with("HTTP/1.1 200"));
+  platform.break_watch();
+  std::vector<Platform::Instance> longest{w1};
+  while (longest.size() < kMaxEntries)
+    longest.push_back({"w" + std::to_string(longest.size() + 1), "mixto", one.address()});
+  platform.push(Platform::line(3, true, longest));
+  platform.push("{\"version\":4,\"full\":true,\"servers\":[{\"id\":7}]}");
+  REQUIRE(platform.watches.wait_for("GET /api/targets?follow=1&since=3 HTTP/1.1"));
+}
+
 // An agent's changes must take effect as soon as it is back. When the wait grew with the fleet, a conductor
 // missed changes for 10 s and sent a request to an instance 1.3 s after its drain grace.
 TEST_CASE(
--- a/tests/wire_parsers_test.cpp
+++ b/tests/wire_parsers_test.cpp
@@ -132,6 +132,19 @@
   CHECK(scanner.failed());
 }
 
+TEST_CASE("Cached tokens are read from an answer without its other contents") {
+  const std::string usage = "\"usage\":{\"a\":[{}],\"prompt_tokens_details\":{\"b\":{},\"cached_tokens\":7}}";
+  CHECK(sse::cached_tokens("{\"cached_tokens\":4096}") == 4096);
+  CHECK(sse::cached_tokens("{\"choices\":[{\"usage\":{}},[[1,2]]],\"x\":{\"cached_tokens\":1}," + usage +
+                           "}") == 7);
+  CHECK(sse::cached_tokens("{\"usage\":{\"cached_tokens\":3,\"prompt_tokens_details\":[7]}}") == 0);
+  CHECK(sse::cached_tokens("{}") == 0);
+  for (const char* other :
+       {"", "[]", "[{\"cached_tokens\":1}]", "7", "{\"cached_tokens\":1", "{\"a\":[1,}"}) {
+    CHECK_FALSE(sse::cached_tokens(other));
+  }
+}
+
 TEST_CASE("A chat request's class, session and lengths come from its model and messages") {
   const config::Appliance appliance = config::parse_appliance(nlohmann::json::parse(R"({
     "listen": "127.0.0.1:8080", "boxes": [{"id": "b", "address": "127.0.0.1:9001"}],
