Limit the number of values in a chat request by the memory

A request's body may hold 250,000 values, whatever memory_mb is. One request of 1.1 MB with 249,000 small objects took an appliance with 32 MB from 6.6 to 40 MB resident (release build), for which a supervisor with that limit kills it, with all open streams.

JsonLimits::values now follows from a fifth of memory_mb at 160 bytes a value (135 were measured), and stays 250,000 from 191 MB on. Test: "Chat: the number of values in a request is limited by the memory", which fails on the program before (the request was served at 32 MB), and shows that the usual limit stays.

--- a/src/app/resource_limits.cpp
+++ b/src/app/resource_limits.cpp
@@ -11,7 +11,8 @@
 constexpr std::size_t kBytesPerMegabyte = 1024 * 1024;
 constexpr std::size_t kReservedSockets = 64;        // for the loop, log, discovery, listeners and a reserve
 constexpr std::size_t kMinUnsentBytes = 16 * 1024;  // of one stream; what a connection reads at once
-// Input, unsent output and answers have one of these shares each; what is left is for everything else.
+// Input, unsent output, answers and parsed JSON have one of these shares each; what is left is for everything
+// else.
 constexpr std::size_t kMemoryShares = 5;
 constexpr int kLargeBlockBytes = 32 * 1024;  // twice what a connection reads at once
 
@@ -29,6 +30,7 @@
   const std::size_t share = memory_mb * kBytesPerMegabyte / kMemoryShares;
   clients.held_bytes = share;
   answer_bytes = share;
+  json_bytes = share;
   // All streams at once, if none of their clients reads.
   clients.unsent_bytes = std::clamp(share / requests, kMinUnsentBytes, clients.unsent_bytes);
 }
--- a/src/app/resource_limits.hpp
+++ b/src/app/resource_limits.hpp
@@ -12,6 +12,7 @@
   std::size_t instances;     // connections to instances
   std::size_t requests;      // open at once
   std::size_t answer_bytes;  // held of all answers together
+  std::size_t json_bytes;    // of one request's parsed body
   net::ServerLimits clients;
 
   ResourceLimits(std::size_t sockets, std::size_t memory_mb);
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -208,6 +208,7 @@
   conductor->observe(request_log(appliance.classes));
   net::OperatorPage page(*conductor, loop, monitor, admission_control, appliance);
   net::OpenAiFront front(*conductor, loop, admission_control, appliance,
+                         net::openai::json_limits(resource_limits.json_bytes),
                          [&] { return page.health_status().state == net::HealthStatus::State::up; });
   net::HttpServer server(
       loop, appliance.listen,
--- a/src/net/openai/front.cpp
+++ b/src/net/openai/front.cpp
@@ -77,11 +77,12 @@
 
 OpenAiFront::OpenAiFront(core::Conductor& conductor, core::Scheduler& scheduler,
                          admission::AdmissionControl& admission_control, const config::Appliance& appliance,
-                         std::function<bool()> healthy)
+                         const openai::JsonLimits& json_limits, std::function<bool()> healthy)
     : conductor_(conductor),
       scheduler_(scheduler),
       admission_control_(admission_control),
       appliance_(appliance),
+      json_limits_(json_limits),
       healthy_(std::move(healthy)) {
   char text[32];
   std::snprintf(text, sizeof text, "req-%llx-", static_cast<unsigned long long>(scheduler.now().count()));
@@ -307,7 +308,7 @@
     throw RequestError{"too many large requests at once; nothing was run, and trying again is harmless", "",
                        503, "overloaded"};
   }
-  const json body = openai::read_json(expanded.body);
+  const json body = openai::read_json(expanded.body, json_limits_);
   std::string path;
   PreparedRequest prepared;
   prepared.target = incoming.target();
--- a/src/net/openai/front.hpp
+++ b/src/net/openai/front.hpp
@@ -11,16 +11,17 @@
 #include "core/conductor.hpp"
 #include "net/http/http_server.hpp"
 #include "net/openai/errors.hpp"
+#include "net/openai/json_reader.hpp"
 
 namespace bankmux::net {
 
 class OpenAiFront {
  public:
-  // `healthy`: whether a load balancer in front may send requests here. The contents of `appliance` may
-  // change during the lifetime of this object.
+  // `json_limits`: of a request's body. `healthy`: whether a load balancer in front may send requests here.
+  // The contents of `appliance` may change during the lifetime of this object.
   OpenAiFront(core::Conductor& conductor, core::Scheduler& scheduler,
               admission::AdmissionControl& admission_control, const config::Appliance& appliance,
-              std::function<bool()> healthy);
+              const openai::JsonLimits& json_limits, std::function<bool()> healthy);
 
   void handle(std::unique_ptr<IncomingRequest> incoming);
   // For the HTTP server that calls handle().
@@ -56,6 +57,7 @@
   core::Scheduler& scheduler_;
   admission::AdmissionControl& admission_control_;
   const config::Appliance& appliance_;
+  openai::JsonLimits json_limits_;
   std::function<bool()> healthy_;
   std::string id_prefix_;  // request ids are this prefix and a counter
   std::uint64_t id_count_ = 0;
--- a/src/net/openai/json_reader.cpp
+++ b/src/net/openai/json_reader.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 // Limit for the JSON library's message, which may quote megabytes of input.
+constexpr std::size_t kBytesPerValue = 160;  // of a member of a small object, with its key
 constexpr std::size_t kMaxMessageBytes = 160;
 
 [[noreturn]] void throw_invalid_json(const std::string& why) {
@@ -80,6 +81,12 @@
 
 }  // namespace
 
+JsonLimits json_limits(std::size_t bytes) {
+  JsonLimits limits;
+  limits.values = std::min(limits.values, bytes / kBytesPerValue);
+  return limits;
+}
+
 json read_json(std::string_view text, const JsonLimits& limits) {
   json body;
   try {
--- a/src/net/openai/json_reader.hpp
+++ b/src/net/openai/json_reader.hpp
@@ -3,6 +3,7 @@
 // double, and data after the end. No I/O.
 #pragma once
 
+#include <cstddef>
 #include <nlohmann/json.hpp>
 #include <string_view>
 
@@ -10,9 +11,12 @@
 
 struct JsonLimits {
   int depth = 64;                // the schemas of tools nest deepest, about 20 levels
-  std::size_t values = 250'000;  // a tree of this size takes about 30 MB while it is read
+  std::size_t values = 250'000;  // of a tree that takes about 35 MB while it is read
 };
 
+// Limits for trees that take at most `bytes` of memory, and not above the default ones.
+[[nodiscard]] JsonLimits json_limits(std::size_t bytes);
+
 // Parses a JSON object. Throws RequestError that names the position of the error or the duplicate key.
 nlohmann::json read_json(std::string_view text, const JsonLimits& limits = {});
 
--- a/tests/integration/chat_test.cpp
+++ b/tests/integration/chat_test.cpp
@@ -208,6 +208,28 @@
   CHECK(seen.count(kChat) == 2);
 }
 
+// Guards against one request that takes more memory than the process has: a parsed value takes many times the
+// memory of its text.
+TEST_CASE("Chat: the number of values in a request is limited by the memory") {
+  constexpr int kValues = 100'000;
+  EventLog seen;
+  ScriptedServer one(instance_script(seen, [](TestConnection& wire, const Message&) {
+    wire.send(plain_response("200 OK", "{\"choices\":[]}"));
+    return true;
+  }));
+  json body = json::parse(Appliance::body("m-consulta", false));
+  // A schema of a tool may hold anything.
+  body["tools"] = {
+      {{"type", "function"},
+       {"function", {{"name", "f"}, {"parameters", {{"enum", json(std::vector<int>(kValues, 0))}}}}}}};
+  Appliance small({one.address()}, {{"memory_mb", 32}, {"max_body_mib", 6}}), usual({one.address()});
+  const std::string answer = small.chat(body.dump());
+  CHECK(answer.starts_with("HTTP/1.1 400"));
+  CHECK(contains(answer, "values"));
+  CHECK(seen.all().empty());
+  CHECK(usual.chat(body.dump()).starts_with("HTTP/1.1 200"));
+}
+
 TEST_CASE("Chat: 10,000 malformed requests each get an error or a close, and none reaches an instance") {
   EventLog seen;
   ScriptedServer one(answering(seen));
