Do not give up an answer that is complete

An exchange stayed in the budget of the pool until it was destroyed, so that one whose attempt had ended could be given up for memory while the core still had it, and ended a second time, as broken.

Exchange::on_readable counts an answer only while it is not complete, and Exchange::finish takes it out of the budget before on_end.

--- a/src/net/instances/instance_pool.cpp
+++ b/src/net/instances/instance_pool.cpp
@@ -239,9 +239,10 @@
     events_.on_body(std::move(body));
     if (watch.destroyed()) return;
   }
-  update_memory();
-  pool_.memory_.enforce();
-  if (connection_ == nullptr || parser_.state() != ResponseParser::State::done) return;
+  if (parser_.state() != ResponseParser::State::done) {
+    update_memory();
+    return pool_.memory_.enforce();
+  }
   if (pool_.may_reuse(true) && parser_.keep_alive() && used == bytes.size() && !early) {
     pool_.add_idle(address_, std::move(connection_), is_attempt_);
   }
@@ -279,6 +280,8 @@
   if (complete) closed_here_ = false;
   progress_ = complete ? Progress::ended : progress();
   close();
+  // An exchange that has ended can't be given up any more.
+  memory_.set(0, 0, pool_.loop_.now());
   events_.on_end(complete);
 }
 
--- a/tests/integration/answer_memory_test.cpp
+++ b/tests/integration/answer_memory_test.cpp
@@ -31,9 +31,13 @@
 struct Events : core::AttemptEvents {
   std::optional<core::Verdict> verdict;
   std::string data;
+  int ends = 0;
   void on_written() override {}
   void on_data(std::string bytes) override { data += bytes; }
-  void on_ended(core::AttemptResult result) override { verdict = result.verdict; }
+  void on_ended(core::AttemptResult result) override {
+    verdict = result.verdict;
+    ++ends;
+  }
 };
 
 // An instance that answers requests for `/usual` as they expect, and all others with `answer`, after which it
@@ -138,3 +142,23 @@
       plain_response("200 OK", "{\"choices\":[],\"usage\":{}}"), net::Dialect::openai, false,
       core::Verdict::served);
 }
+
+// Guards against an attempt that ends a second time, as broken, because its complete answer still counts
+// while the core has not destroyed it yet.
+TEST_CASE("Memory: complete answers no longer count, and each attempt ends once") {
+  constexpr std::size_t kAnswerBytes = 100 * 1024;
+  const BadInstance instance{
+      "",
+      plain_response("200 OK", "{\"usage\":{},\"a\":\"" + std::string(kAnswerBytes, 'x') + "\"}",
+                     "Connection: close\r\n"),
+      {}};
+  CrowdedClient crowd(instance, net::Dialect::openai, false);
+  for (int i = 0; i < kAttempts; ++i) {
+    Events& events = crowd.start("/usual");
+    REQUIRE(crowd.run_until([&events] { return events.verdict.has_value(); }));
+  }
+  for (const auto& events : crowd.events) {
+    CHECK(*events->verdict == core::Verdict::served);
+    CHECK(events->ends == 1);
+  }
+}
