--- a/src/app/resource_limits.cpp
+++ b/src/app/resource_limits.cpp
@@ -1,7 +1,5 @@
 #include "app/resource_limits.hpp"
 
-#include <malloc.h>
-
 #include <algorithm>
 
 namespace bankmux::app {
@@ -14,11 +12,11 @@
 // Input, unsent output, answers and parsed JSON have one of these shares each; what is left is for everything
 // else.
 constexpr std::size_t kMemoryShares = 5;
-constexpr int kLargeBlockBytes = 32 * 1024;  // twice what a connection reads at once
 
 }  // namespace
 
-ResourceLimits::ResourceLimits(std::size_t sockets, std::size_t memory_mb) {
+ResourceLimits::ResourceLimits(std::size_t sockets, std::size_t memory_mb)
+    : memory_bytes(memory_mb * kBytesPerMegabyte) {
   const std::size_t available = sockets > 2 * kReservedSockets ? sockets - kReservedSockets : sockets / 2;
   // Client connections with an open request use at most a third of all descriptors; the rest of the clients'
   // share is for connections without one. Each request needs a connection to an instance, and more for calls
@@ -27,7 +25,7 @@
   instances = available - clients.connections;
   // Otherwise an open request might find no descriptor for its instance when there are few.
   requests = std::min({sockets / 3, instances, clients.connections});
-  const std::size_t share = memory_mb * kBytesPerMegabyte / kMemoryShares;
+  const std::size_t share = memory_bytes / kMemoryShares;
   clients.held_bytes = share;
   answer_bytes = share;
   json_bytes = share;
@@ -35,9 +33,4 @@
   clients.unsent_bytes = std::clamp(share / requests, kMinUnsentBytes, clients.unsent_bytes);
 }
 
-void return_freed_memory() {
-  mallopt(M_MMAP_THRESHOLD, kLargeBlockBytes);
-  mallopt(M_TRIM_THRESHOLD, 2 * kLargeBlockBytes);
-}
-
 }  // namespace bankmux::app
--- a/src/app/resource_limits.hpp
+++ b/src/app/resource_limits.hpp
@@ -9,6 +9,7 @@
 namespace bankmux::app {
 
 struct ResourceLimits {
+  std::size_t memory_bytes;  // that the process may have
   std::size_t instances;     // connections to instances
   std::size_t requests;      // open at once
   std::size_t answer_bytes;  // held of all answers together
@@ -18,9 +19,4 @@
   ResourceLimits(std::size_t sockets, std::size_t memory_mb);
 };
 
-// Makes the allocator return large freed blocks to the system. By default it keeps them once some were freed,
-// so that the process would stay as large as its buffers have ever been together. To be called before the
-// first large allocation.
-void return_freed_memory();
-
 }  // namespace bankmux::app
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -10,6 +10,7 @@
 #include "admission/admission_control.hpp"
 #include "app/cpu_watch.hpp"
 #include "app/fleet_coordination.hpp"
+#include "app/heap_trimmer.hpp"
 #include "app/operations.hpp"
 #include "app/process_lifecycle.hpp"
 #include "app/request_log.hpp"
@@ -113,11 +114,11 @@
 }  // namespace
 
 void serve(const config::Config& config, const std::function<config::Config()>& reread) {
-  return_freed_memory();
   // Two processes share the limits during an upgrade; the old one only finishes its open requests.
   const std::size_t sockets = config.passed_socket ? config.sockets * 3 / 4 : config.sockets;
   const ResourceLimits resource_limits(sockets, config.memory_mb);
   net::Loop loop;
+  const HeapTrimmer heap_trimmer(loop, resource_limits.memory_bytes);
   std::optional<core::Conductor> conductor;
   net::InstanceClient instances(loop,
                                 pool_limits(config.connect_timeout, config.idle_timeout, resource_limits),
@@ -191,9 +192,9 @@
 }
 
 void serve(config::Appliance appliance, const std::function<config::Appliance()>& reread) {
-  return_freed_memory();
   const ResourceLimits resource_limits(appliance.sockets, appliance.memory_mb);
   net::Loop loop;
+  const HeapTrimmer heap_trimmer(loop, resource_limits.memory_bytes);
   // Declared before the conductor, because requests report to it until they are destroyed.
   admission::AdmissionControl admission_control({appliance.ledger, kMaxTenants, resource_limits.requests},
                                                 loop.now());
