--- a/tests/integration/request_age_test.cpp
+++ b/tests/integration/request_age_test.cpp
@@ -173,8 +173,8 @@
   CHECK(test.waited[1] < 1s);
 }
 
-// Guards against a late request that is served during a shutdown, because the kernel's clock has moved on by a
-// tick since it came.
+// Guards against a late request that is served during a shutdown, because the kernel's clock has moved on by
+// a tick since it came.
 TEST_CASE("Request age: during a shutdown, a tick of the kernel's clock does not make a request older") {
   constexpr int kLongestTickMs = 10;
   AgeServer test(100);
