Bound the head and the chunks of discovery's answer

Cause: evhttp collects each chunk whole, and the whole head, before it calls back, without a limit unless one is set (src/net/platform/discovery_watch.cpp:58). The watch's own limit of 2 MiB is checked after that, on a copy of the whole chunk (:142).

Change: at most 64 KiB of head and 4 MiB a chunk (a whole list of 2 MiB and the changes after it); evhttp limits the sum of all chunks, so that the limit moves on with what has been received. A chunk is read in pieces of 16 KiB, which are freed as they are read. What follows a line that is too long is discarded until the watch is reopened. A head or chunk that is too long is logged.

--- a/src/net/platform/discovery_watch.cpp
+++ b/src/net/platform/discovery_watch.cpp
@@ -1,6 +1,7 @@
 #include "net/platform/discovery_watch.hpp"
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <random>
 #include <utility>
@@ -24,6 +25,9 @@
 // whole fleet therefore reopens within this time, even if refusals would call for longer waits.
 constexpr core::Duration kMaxReopenDelay = 1500ms;
 constexpr std::size_t kMaxLineBytes = config::kMaxListEntries * 512;
+constexpr std::size_t kMaxChunkBytes = 2 * kMaxLineBytes;  // a whole list, and the changes after it
+constexpr std::size_t kMaxHeadBytes = 64 * 1024;
+constexpr std::size_t kPieceBytes = 16 * 1024;  // of a chunk, read and freed at once
 // Of a list of the maximum number of instances, which have nine fields each. A parsed value takes many times
 // the memory of its text.
 constexpr std::size_t kMaxListValues = config::kMaxListEntries * 12;
@@ -61,6 +65,10 @@
   line_received_ = false;
   if (!connection_) return on_failure();
   evhttp_connection_set_timeout(connection_.get(), kReadTimeoutSeconds);
+  evhttp_connection_set_max_headers_size(connection_.get(), kMaxHeadBytes);
+  received_bytes_ = 0;
+  line_too_long_ = false;
+  allow_next_chunk();
   evhttp_request* request = evhttp_request_new(
       [](evhttp_request* answer, void* self) {
         run_guarded("discovery", [=] { static_cast<DiscoveryWatch*>(self)->on_closed(answer); });
@@ -75,6 +83,10 @@
       static_cast<DiscoveryWatch*>(self)->response_timeout_.reset();
     return 0;
   });
+  evhttp_request_set_error_cb(request, [](evhttp_request_error error, void*) {
+    if (error == EVREQ_HTTP_DATA_TOO_LONG)
+      log::write("discovery", "answer has too long a head or chunk; reopening the watch");
+  });
   evhttp_add_header(evhttp_request_get_output_headers(request), "Host", address_.c_str());
   std::string path = "/api/targets?follow=1";
   if (!full_list_needed_) path += "&since=" + std::to_string(version_);
@@ -130,27 +142,48 @@
   reopen_timer_ = loop_.at(loop_.now() + wait, [this] { open(); });
 }
 
+// evhttp collects each chunk whole before it passes it on, and limits the sum of all chunks.
+void DiscoveryWatch::allow_next_chunk() {
+  const std::size_t limit = received_bytes_ + kMaxChunkBytes;
+  evhttp_connection_set_max_body_size(connection_.get(), static_cast<ev_ssize_t>(limit));
+}
+
 void DiscoveryWatch::on_data(evhttp_request* request) {
   evbuffer* input = evhttp_request_get_input_buffer(request);
-  std::string bytes(evbuffer_get_length(input), '\0');
-  evbuffer_remove(input, bytes.data(), bytes.size());
-  if (evhttp_request_get_response_code(request) != 200) return;
+  received_bytes_ += evbuffer_get_length(input);
+  allow_next_chunk();
+  if (evhttp_request_get_response_code(request) != 200 || line_too_long_) {
+    evbuffer_drain(input, evbuffer_get_length(input));
+    return;
+  }
   if (!line_received_ && failures_ > 1)
     log::write("discovery", "a watch again after " + std::to_string(failures_) + " calls");
   line_received_ = true;  // an empty line also proves that the watch works
-  bool line_complete = false;
-  splitter_.feed(bytes, [this, &line_complete](const std::string& text) {
-    line_complete = true;
-    on_line(text);
-  });
+  const bool line_complete = read_lines(input);
   const bool keep_alive_line = !line_complete && splitter_.pending_bytes() == 0;
   if (keep_alive_line) on_update_(core::FleetUpdate{});
-  if (splitter_.pending_bytes() > kMaxLineBytes) {
+}
+
+bool DiscoveryWatch::read_lines(evbuffer* input) {
+  bool line_complete = false;
+  std::array<char, kPieceBytes> piece;
+  while (!line_too_long_ && evbuffer_get_length(input) > 0) {
+    const int size = evbuffer_remove(input, piece.data(), piece.size());
+    if (size <= 0) break;
+    splitter_.feed({piece.data(), std::size_t(size)}, [this, &line_complete](const std::string& text) {
+      line_complete = true;
+      on_line(text);
+    });
+    line_too_long_ = splitter_.pending_bytes() > kMaxLineBytes;
+  }
+  if (line_too_long_) {
     log::write("discovery", "line exceeds " + std::to_string(kMaxLineBytes) +
                                 " bytes without an end; reopening the watch");
     splitter_.clear();
+    evbuffer_drain(input, evbuffer_get_length(input));
     schedule_reopen(kDelayAfterMalformed);
   }
+  return line_complete || line_too_long_;
 }
 
 // A malformed line leaves the list unchanged; the watch is reopened from the last valid version.
--- a/src/net/platform/discovery_watch.hpp
+++ b/src/net/platform/discovery_watch.hpp
@@ -32,6 +32,10 @@
 
  private:
   void on_data(evhttp_request* request);
+  // Sets the limit on what evhttp collects of the answer before it passes it on.
+  void allow_next_chunk();
+  // Handles all that has arrived; whether a line has ended, or become too long, by it.
+  bool read_lines(evbuffer* input);
   void on_line(const std::string& text);
   void schedule_reopen(core::Duration wait);
   void on_closed(evhttp_request* answer);
@@ -52,6 +56,8 @@
   Backoff shared_backoff_;
   std::mt19937_64 random_;
   std::unique_ptr<evhttp_connection, Deleter<evhttp_connection_free>> connection_;
+  std::size_t received_bytes_ = 0;  // of the current watch's body
+  bool line_too_long_ = false;      // the rest of the current watch is discarded
   ListSplitter splitter_;
   std::unique_ptr<core::Timer> reopen_timer_, response_timeout_;
 };
