Reopen a watch 1 s after its first malformed line, whatever follows

Seen: while discovery sent a malformed line each 0.3 s, or a line without an end, the watch was not reopened in 20 s and the list stayed as it was; the log had the same line every 0.35 s.

Cause: each malformed line scheduled the reopening anew, 1 s from then (src/net/platform/discovery_watch.cpp, on_data and on_line).

Change: a reopening that is scheduled already stays (`reopen_after_malformed`). A call that ends meanwhile decides by its own wait, as before.

Test: "Crossing: a watch that brings one malformed line after another is reopened after the first"; with the condition taken out it fails.

--- a/src/net/platform/discovery_watch.cpp
+++ b/src/net/platform/discovery_watch.cpp
@@ -181,11 +181,16 @@
                                 " bytes without an end; reopening the watch");
     splitter_.clear();
     evbuffer_drain(input, evbuffer_get_length(input));
-    schedule_reopen(kDelayAfterMalformed);
+    reopen_after_malformed();
   }
   return line_complete || line_too_long_;
 }
 
+void DiscoveryWatch::reopen_after_malformed() {
+  const bool is_scheduled = reopen_timer_ != nullptr;  // further malformed lines must not put it off
+  if (!is_scheduled) schedule_reopen(kDelayAfterMalformed);
+}
+
 // A malformed line leaves the list unchanged; the watch is reopened from the last valid version.
 void DiscoveryWatch::on_line(const std::string& text) {
   try {
@@ -199,7 +204,7 @@
     on_update_(std::move(message.update));
   } catch (const eiderarch::wire::MalformedInput& problem) {
     log::write("discovery", std::string("list line not understood, the old list stays: ") + problem.what());
-    schedule_reopen(kDelayAfterMalformed);
+    reopen_after_malformed();
   }
 }
 
--- a/src/net/platform/discovery_watch.hpp
+++ b/src/net/platform/discovery_watch.hpp
@@ -38,6 +38,7 @@
   bool read_lines(evbuffer* input);
   void on_line(const std::string& text);
   void schedule_reopen(core::Duration wait);
+  void reopen_after_malformed();
   void on_closed(evhttp_request* answer);
   // `refused`: discovery answered the call with an error status.
   void on_failure(bool refused = false);
--- a/tests/integration/race_condition_test.cpp
+++ b/tests/integration/race_condition_test.cpp
@@ -475,6 +475,25 @@
   CHECK_FALSE(contains_text(log, "no watch after 2 calls in a row"));
 }
 
+// Guards against a watch that is never reopened, because each malformed line puts that off.
+TEST_CASE("Crossing: a watch that brings one malformed line after another is reopened after the first") {
+  EventLog seen;
+  ScriptedServer instance(serve_requests(seen));
+  const auto malformed_lines = [](TestConnection& wire) {
+    wire.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    do wire.send(chunk("no list\n"));
+    while (!wire.closed_within(300));
+  };
+  ScriptedDiscovery moved(
+      {malformed_lines, ScriptedDiscovery::list({"w", "mixto", instance.address()}, true)});
+  Platform platform({});
+  nlohmann::json fresh = platform.config();
+  fresh["discovery"] = moved.peer.address();
+  platform.reload(fresh.dump());
+  REQUIRE(moved.seen.wait_for("call"));
+  CHECK(moved.seen.wait_for("call", 2, 3000));
+}
+
 // Number of descriptors that a process has open.
 std::ptrdiff_t descriptors(pid_t pid) {
   return std::distance(std::filesystem::directory_iterator("/proc/" + std::to_string(pid) + "/fd"), {});
