Keep when each request behind an open one came, whatever came after it

Seen: a request that had waited for 0.8 s behind another on its connection counted as 0.3 s old, since half a request had been sent behind it 0.3 s ago; its attempt would have told its instance 0.5 s too much.

Cause: `IncomingRequest::waited` (src/net/http/incoming_request.cpp:45) asked the kernel for the age of the connection's last input, which is not the request's own if more has come behind it.

Change: the time of each read behind an open request is kept with its end (`InputTimes`, reads within 20 ms as one, 64 at most), and a request that waited there has the time of the read that brought its last byte. Others as before.

--- a/src/net/http/http_connection.cpp
+++ b/src/net/http/http_connection.cpp
@@ -189,6 +189,11 @@
   return server_.loop_.now() - since;
 }
 
+core::Duration HttpConnection::request_age() const {
+  if (request_input_) return server_.loop_.now() - *request_input_;
+  return std::min(input_age(), longest_unread_time());
+}
+
 bool HttpConnection::client_closed() const {
   pollfd client{bufferevent_getfd(stream_.get()), POLLRDHUP, 0};
   return poll(&client, 1, 0) > 0;
@@ -211,6 +216,7 @@
   // are therefore dropped, and the connection closes after this response.
   if (phase_ == Phase::answering) {
     last_input_ = server_.loop_.now();
+    note_buffered_input();
     set_held_bytes(request_bytes_, buffered_input());
     if (buffered_input() >= kMaxReadAheadBytes) drop_input();
     if (discarded_bytes_ > server_.limits_.max_discarded_bytes) return server_.close(*this);
@@ -225,6 +231,8 @@
   const bool had_head = parser_.state() != MessageParser::State::head;
   const std::size_t used = parser_.feed_limited({bytes, size}, body_);
   evbuffer_drain(input, used);
+  request_input_ = input_times_.consume(used);
+  note_buffered_input();
   if (parser_.state() == MessageParser::State::bad) return send_error(parser_.error_status());
   // Bounds memory: all requests together, from their first byte until they are answered.
   set_held_bytes(parser_.held_bytes() + body_.size(), buffered_input());
@@ -248,6 +256,11 @@
       std::exchange(body_, {})));
 }
 
+void HttpConnection::note_buffered_input() {
+  if (buffered_input() == 0) return input_times_.clear();
+  input_times_.add(buffered_input(), server_.loop_.now() - std::min(input_age(), longest_unread_time()));
+}
+
 std::size_t HttpConnection::buffered_input() const {
   return evbuffer_get_length(bufferevent_get_input(stream_.get()));
 }
@@ -259,6 +272,7 @@
 
 void HttpConnection::drop_input() {
   close_after_response_ = true;
+  input_times_.clear();
   discarded_bytes_ += buffered_input();
   evbuffer_drain(bufferevent_get_input(stream_.get()), buffered_input());
   set_held_bytes(request_bytes_, 0);
--- a/src/net/http/http_connection.hpp
+++ b/src/net/http/http_connection.hpp
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "net/http/http_server.hpp"
+#include "net/http/input_times.hpp"
 
 namespace bankmux::net {
 
@@ -41,6 +42,9 @@
   [[nodiscard]] core::Duration input_age() const;
   // The longest time for which input of this connection may have been there unread.
   [[nodiscard]] core::Duration longest_unread_time() const;
+  // How long the last byte of the current request had been there, here or in the kernel, when it was
+  // dispatched; rather too long than too short.
+  [[nodiscard]] core::Duration request_age() const;
   // Continues a response stream of another process; `unsent` is output that the client has not been sent yet.
   void resume_stream(bool chunked, bool last, std::string_view unsent);
 
@@ -71,6 +75,7 @@
   // one is dropped, after whose answer the connection closes.
   void shed_input();
   [[nodiscard]] std::size_t buffered_input() const;
+  void note_buffered_input();
   void drop_input();
 
   HttpServer& server_;
@@ -86,6 +91,8 @@
   // Since when the next request may have waited: for the connection to be accepted, or behind an open
   // request.
   std::optional<core::Time> waiting_since_;
+  InputTimes input_times_;                   // of the buffered input behind an open request
+  std::optional<core::Time> request_input_;  // when the current request's last byte came, if it waited here
   bool close_after_response_ = false;
   bool chunked_ = false, omit_body_ = false;
   bool reset_on_close_ = false;   // reset the connection once the output is written
--- a/src/net/http/incoming_request.cpp
+++ b/src/net/http/incoming_request.cpp
@@ -43,10 +43,10 @@
 bool IncomingRequest::client_closed() const { return state_ != State::over && connection_->client_closed(); }
 
 core::Duration IncomingRequest::waited() const {
-  const core::Duration age = connection_->input_age();
   // During a shutdown, a request that came in time must not count as late, nor a late one as in time.
-  if (connection_->server_.closing_after_responses_) return std::max(age - kMaxClockTick, core::Duration{0});
-  return std::min(age, connection_->longest_unread_time());
+  if (connection_->server_.closing_after_responses_)
+    return std::max(connection_->input_age() - kMaxClockTick, core::Duration{0});
+  return connection_->request_age();
 }
 
 bool IncomingRequest::reserve_bytes(std::size_t bytes) {
--- a/tests/integration/request_age_test.cpp
+++ b/tests/integration/request_age_test.cpp
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "net/http/http_server.hpp"
+#include "net/http/input_times.hpp"
 #include "net/loop/loop.hpp"
 #include "platform_fixture.hpp"
 
@@ -68,6 +69,39 @@
   net::HttpServer server;
 };
 
+// A server whose answers the test gives, and one client whose first request is open.
+struct HeldAnswers {
+  HeldAnswers() {
+    run_for(300ms);  // from then on, the server knows that nothing waits from before its start
+    client->send(kRequest);
+    REQUIRE(run_until_open(1));
+  }
+  void run_for(core::Duration time) {
+    const auto over = loop.at(loop.now() + time, [this] { loop.stop(); });
+    loop.run();
+  }
+  // Runs the loop until so many requests have been read.
+  bool run_until_open(std::size_t count) {
+    const core::Time limit = loop.now() + 5s;
+    while (requests.size() < count && loop.now() < limit) run_for(5ms);
+    return requests.size() >= count;
+  }
+  void answer_next() { requests[answered++]->answer(200, {}, "ok"); }
+
+  net::Loop loop;
+  std::string address = unique_address();
+  std::vector<std::unique_ptr<net::IncomingRequest>> requests;
+  std::vector<core::Duration> waited;  // of each request
+  std::size_t answered = 0;
+  net::HttpServer server{loop, address,
+                         [this](std::unique_ptr<net::IncomingRequest> incoming) {
+                           waited.push_back(incoming->waited());
+                           requests.push_back(std::move(incoming));
+                         },
+                         net::ServerLimits{}};
+  std::unique_ptr<TestConnection> client = TestConnection::to(address);
+};
+
 // The program with one instance, which records the id and the remaining time of each request.
 struct HeldUpPlatform {
   EventLog ids;
@@ -107,8 +141,12 @@
 // Guards against requests whose time begins anew when they are read.
 TEST_CASE("Request age: an attempt is told what is left from the last byte of a request that waited unread") {
   HeldUpPlatform test;
-  CHECK(test.ask_held_up("a", 5000, 1000ms).starts_with("HTTP/1.1 200"));
-  CHECK(test.told_ms <= 4000 + kSlack / 1ms);
+  for (const auto time : {150ms, 1000ms, 2000ms}) {
+    const std::string id = std::to_string(time.count());
+    CAPTURE(id);
+    CHECK(test.ask_held_up(id, 5000, time).starts_with("HTTP/1.1 200"));
+    CHECK(test.told_ms <= (5000ms - time + kSlack) / 1ms);
+  }
 }
 
 // Guards against an ajuste that runs for a client whose time was up before its request was read.
@@ -133,30 +171,63 @@
 
 // Guards against a request whose time begins anew as the one before it on its connection ends.
 TEST_CASE("Request age: a request that waited behind another one on its connection has its age") {
-  net::Loop loop;
-  const std::string address = unique_address();
-  std::vector<std::unique_ptr<net::IncomingRequest>> open;
-  std::vector<core::Duration> waited;
-  net::HttpServer server(
-      loop, address,
-      [&](std::unique_ptr<net::IncomingRequest> incoming) {
-        waited.push_back(incoming->waited());
-        open.push_back(std::move(incoming));
-        loop.stop();
-      },
-      net::ServerLimits{});
-  // From then on, the server knows that nothing waits from before its start.
-  const auto started = loop.at(loop.now() + 300ms, [&] { loop.stop(); });
-  loop.run();
-  const auto client = TestConnection::to(address);
-  client->send(kRequest);
-  loop.run();
-  client->send(kRequest);
-  const auto answer_time = loop.at(loop.now() + 800ms, [&] { open[0]->answer(200, {}, "ok"); });
-  const auto limit = loop.at(loop.now() + 5s, [&] { loop.stop(); });
-  loop.run();
-  REQUIRE(waited.size() == 2);
-  CHECK(waited[1] >= 800ms - kSlack);
+  HeldAnswers test;
+  test.client->send(kRequest);
+  test.run_for(800ms);
+  test.answer_next();
+  REQUIRE(test.run_until_open(2));
+  CHECK(test.waited[1] >= 800ms - kSlack);
+}
+
+// Guards against a request that counts as young as the input after it.
+TEST_CASE("Request age: a request that waited behind another one is not younger for what was sent after it") {
+  HeldAnswers test;
+  test.client->send(kRequest);
+  test.run_for(500ms);
+  test.client->send(kHalfRequest);
+  test.run_for(300ms);
+  test.answer_next();
+  REQUIRE(test.run_until_open(2));
+  CHECK(test.waited[1] >= 800ms - kSlack);
+
+  // The third request's last byte comes now, and another half request after it.
+  test.client->send("x\r\n\r\n");
+  test.run_for(200ms);
+  test.client->send(kHalfRequest);
+  test.run_for(200ms);
+  test.answer_next();
+  REQUIRE(test.run_until_open(3));
+  CHECK(test.waited[2] >= 400ms - kSlack);
+  CHECK(test.waited[2] <= 400ms + kSlack);
+}
+
+TEST_CASE("Request age: requests that came at once on one connection have one age") {
+  HeldAnswers test;
+  test.client->send(kRequest + kRequest);
+  test.run_for(400ms);
+  test.answer_next();
+  REQUIRE(test.run_until_open(2));
+  test.run_for(400ms);
+  test.answer_next();
+  REQUIRE(test.run_until_open(3));
+  CHECK(test.waited[1] >= 400ms - kSlack);
+  CHECK(test.waited[2] >= 800ms - kSlack);
+}
+
+TEST_CASE("Request age: of the input that waits, the time of each read is kept, up to a limit") {
+  net::InputTimes times;
+  CHECK(times.consume(10) == std::nullopt);
+  times.add(100, core::Time{1'000'000});
+  times.add(150, core::Time{1'010'000});  // so soon after the first that it counts as one with it
+  times.add(200, core::Time{2'000'000});
+  CHECK(times.consume(150) == core::Time{1'000'000});
+  CHECK(times.consume(20) == core::Time{2'000'000});
+  times.add(60, core::Time{3'000'000});
+  CHECK(times.consume(40) == core::Time{3'000'000});
+  CHECK(times.consume(30) == std::nullopt);  // more than was added
+  for (int i = 1; i <= 1000; ++i) times.add(std::size_t(i), core::Time{i * 1'000'000});
+  CHECK(times.consume(1000) == core::Time{64'000'000});
+  CHECK(times.consume(1) == std::nullopt);
 }
 
 // Guards against a figure of the kernel's clock for input that cannot have been left unread for so long.
