Keep a box's drain when a reload gives it another address

A drain is the operator's word on the id; with shared drains it came back only with the next change in the store.

Change: of a box that has moved, the drain is kept, and nothing else: it starts cold, as before.

--- a/src/net/appliance/box_watch.cpp
+++ b/src/net/appliance/box_watch.cpp
@@ -28,21 +28,22 @@
   const std::vector<Instance> previous_list = std::exchange(monitored_, {});
   interval_ = appliance.check_every;
   for (const config::Instance& instance : appliance.boxes) {
+    const auto previous =
+        std::ranges::find(previous_list, instance.id, [](const Instance& other) { return other.listed.id; });
+    const bool known = previous != previous_list.end();
+    const bool moved = known && previous->listed.address != instance.address;
     Instance updated;
-    const auto previous = std::ranges::find_if(previous_list, [&instance](const Instance& other) {
-      return other.listed.id == instance.id && other.listed.address == instance.address;
-    });
-    if (previous != previous_list.end()) updated = *previous;
+    if (known && !moved) updated = *previous;
     updated.listed.id = instance.id;
     updated.listed.address = instance.address;
     updated.listed.entry.engine = eiderarch::wire::hash_key(instance.id);
     updated.listed.entry.rating = instance.weight;
-    // A known id at a new address is another process: it starts cold, and none of the old state applies.
-    const bool moved = previous == previous_list.end() &&
-                       std::ranges::any_of(previous_list, [&instance](const Instance& other) {
-                         return other.listed.id == instance.id;
-                       });
-    if (moved) updated.listed.entry.started = scheduler_.now();
+    if (moved) {
+      // Another process, which starts cold. Of the old state only what the operator has said of the id
+      // applies.
+      updated.listed.entry.started = scheduler_.now();
+      updated.drained = previous->drained;
+    }
     monitored_.push_back(std::move(updated));
   }
 }
--- a/src/net/appliance/box_watch.hpp
+++ b/src/net/appliance/box_watch.hpp
@@ -23,8 +23,8 @@
 
   // Publishes every instance as running, then starts the health checks.
   void start();
-  // Replaces the list of instances. Those with an unchanged id and address keep their state, including a
-  // drain.
+  // Replaces the list of instances. Those with an unchanged id and address keep their state. A drain follows
+  // the id to another address.
   void reload(const config::Appliance& appliance);
   void subscribe() override {}
   void fetch() override { publish(); }
--- a/tests/integration/appliance_test.cpp
+++ b/tests/integration/appliance_test.cpp
@@ -245,6 +245,27 @@
   CHECK(contains(appliance.chat(Appliance::body("m-new", true)), "[DONE]"));
 }
 
+// Guards against requests to a machine that an operator has taken out, because its address was changed.
+TEST_CASE("SIGHUP: a drained instance stays drained at another address, and can be resumed there") {
+  EventLog seen;
+  const auto answer = [](TestConnection&, const Message&) { return false; };
+  ScriptedServer before(instance_script(seen, answer)), after(instance_script(seen, answer));
+  Appliance appliance({before.address()});
+  const auto box = [&appliance] { return json_body(appliance.page("GET", "/-/status"))["boxes"][0]; };
+  CHECK(appliance.page("POST", "/-/boxes/b1/drain").starts_with("HTTP/1.1 204"));
+  CHECK(box()["state"] == "drain");
+  json new_file = appliance.file();
+  new_file["boxes"][0]["address"] = after.address();
+  appliance.reload(new_file);
+  for (int i = 0; i < 250 && box()["address"] != after.address(); ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  CHECK(box()["address"] == after.address());
+  CHECK(box()["state"] == "drain");
+  CHECK(appliance.page("POST", "/-/boxes/b1/resume").starts_with("HTTP/1.1 204"));
+  CHECK(box()["state"] == "up");
+}
+
 TEST_CASE("The console marks the selected instance and fits the terminal width") {
   const json status = json::parse(R"({"name":"caja","standing":"up 75%","uptime_s":61.5,
     "requests":{"open":3,"most":10,"taken":9,"served":5,"refused":1,"failed":0,"broken":0,"client_gone":0,
