Let the earlier end of a silent stream's wait stay when its instance is lost

PROTOCOL allows 5 s for a running instance.

Cause: `InstanceLost` started the wait anew with 3 s from there (src/core/stream.cpp:50), up to 7 s after the last event, and each further one again.

Change: if the wait for the next event ends sooner than that, it ends then. A stream that is paused for its client has no such wait, and gets the 3 s as before.

Test: "Core: a silent stream does not wait longer because its instance leaves the list or restarts"; it failed before.

--- a/src/core/request.hpp
+++ b/src/core/request.hpp
@@ -46,6 +46,7 @@
   std::unique_ptr<ClientReply> reply;
   Inbox<RequestEvent> inbox;
   std::unique_ptr<Timer> deadline_timer, decision_timer, attempt_timer, send_timer, stall_timer;
+  Time stalled_at{0};  // when `stall_timer` ends the wait for the stream's next event
   // Up to this time the last attempt's instance may not have received the close of its connection.
   Time closing_until{0};
   std::unique_ptr<Timer> postponed_event;  // delivers the event that waits until `closing_until`
--- a/src/core/stream.cpp
+++ b/src/core/stream.cpp
@@ -46,8 +46,10 @@
     r.silent_since = scheduler_.now();
     start_stall_timer(r, settings_.stall_limit);
   } else if (std::holds_alternative<InstanceLost>(event)) {
-    // A vanished machine sends no reset, so its stream would stay open forever.
-    start_stall_timer(r, kLostInstanceStallLimit);
+    // A vanished machine sends no reset. An earlier end of the wait for its next event stays.
+    const bool ends_sooner =
+        r.stall_timer != nullptr && r.stalled_at <= scheduler_.now() + kLostInstanceStallLimit;
+    if (!ends_sooner) start_stall_timer(r, kLostInstanceStallLimit);
   } else if (std::holds_alternative<StreamStalled>(event)) {
     if (watches_silence(r)) {
       const Duration silent = scheduler_.now() - *r.last_event;
@@ -110,7 +112,8 @@
 
 // Starts the timer for the next event of the stream.
 void Conductor::start_stall_timer(Request& r, Duration time_limit) {
-  r.stall_timer = scheduler_.at(scheduler_.now() + time_limit, [&r] { r.inbox.push(StreamStalled{}); });
+  r.stalled_at = scheduler_.now() + time_limit;
+  r.stall_timer = scheduler_.at(r.stalled_at, [&r] { r.inbox.push(StreamStalled{}); });
 }
 
 bool Conductor::watches_silence(const Request& r) const {
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -625,6 +625,24 @@
   CHECK(w.conductor->open_requests() == 0);
 }
 
+// Guards against a client that waits for over 5 s after the last event, because the list names its instance
+// again.
+TEST_CASE("Core: a silent stream does not wait longer because its instance leaves the list or restarts") {
+  CoreFixture w;
+  w.list_instance("w", 2);
+  w.send_request(1, 100);
+  w.instances.finish_write();
+  w.instances.attempt->events.on_data("x");
+  w.time.run_ready();
+  w.time.advance(3s);
+  w.list_instance("w", 2, eiderarch::EngineState::gone);
+  w.time.advance(900ms);
+  CHECK(w.answers == EventLog{"begin", "x"});
+  w.time.advance(100ms);
+  CHECK(w.answers == EventLog{"begin", "x", "abort"});
+  CHECK(w.conductor->open_requests() == 0);
+}
+
 TEST_CASE(
     "Fleet: a start in the future counts from when it was received and only a different start is a restart") {
   Fleet fleet;
