Show that a list with an instance named twice is refused by its name, and the last one stays

Held already: the error names the instance, the watch is reopened from the last valid version, requests are served.

--- a/tests/integration/race_condition_test.cpp
+++ b/tests/integration/race_condition_test.cpp
@@ -475,6 +475,20 @@
   CHECK_FALSE(contains_text(log, "no watch after 2 calls in a row"));
 }
 
+TEST_CASE(
+    "Crossing: a list that names an instance twice is refused by its name, and the last good list stays") {
+  EventLog seen;
+  ScriptedServer instance(serve_requests(seen));
+  const Platform::Instance w{"w", "mixto", instance.address()};
+  Platform platform({w});
+  platform.push(Platform::line(2, true, {w, {"v", "mixto", "127.0.0.1:1"}, {"v", "mixto", "127.0.0.1:2"}}));
+  REQUIRE(platform.watches.wait_for("GET /api/targets?follow=1&since=1 HTTP/1.1", 2));
+  CHECK(platform.ask(client_request("a", "consulta", 5000, 100)).starts_with("HTTP/1.1 200"));
+  platform.program().terminate();
+  CHECK(platform.program().wait() == 0);
+  CHECK(contains_text(platform.program().output(), "'v' twice"));
+}
+
 // Guards against a watch that is never reopened, because each malformed line puts that off.
 TEST_CASE("Crossing: a watch that brings one malformed line after another is reopened after the first") {
   EventLog seen;
