--- a/src/app/cpu_watch.cpp
+++ b/src/app/cpu_monitor.cpp
@@ -1,4 +1,4 @@
-#include "app/cpu_watch.hpp"
+#include "app/cpu_monitor.hpp"
 
 #include <sys/resource.h>
 
--- a/src/app/fleet_coordination.hpp
+++ b/src/app/fleet_coordination.hpp
@@ -8,7 +8,7 @@
 #include "coordination/sqlite_store.hpp"
 #include "duties/duty_runner.hpp"
 #include "duties/fleet_view.hpp"
-#include "net/appliance/box_watch.hpp"
+#include "net/appliance/instance_monitor.hpp"
 #include "net/appliance/operator_page.hpp"
 #include "net/loop/loop.hpp"
 #include "net/loop/mailbox.hpp"
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -8,7 +8,7 @@
 #include <utility>
 
 #include "admission/admission_control.hpp"
-#include "app/cpu_watch.hpp"
+#include "app/cpu_monitor.hpp"
 #include "app/fleet_coordination.hpp"
 #include "app/heap_trimmer.hpp"
 #include "app/operations.hpp"
@@ -19,7 +19,7 @@
 #include "core/conductor.hpp"
 #include "log/log.hpp"
 #include "net/appliance/agent_check.hpp"
-#include "net/appliance/box_watch.hpp"
+#include "net/appliance/instance_monitor.hpp"
 #include "net/appliance/operator_page.hpp"
 #include "net/http/http_server.hpp"
 #include "net/instances/instance_client.hpp"
--- a/src/net/appliance/box_watch.cpp
+++ b/src/net/appliance/instance_monitor.cpp
@@ -1,4 +1,4 @@
-#include "net/appliance/box_watch.hpp"
+#include "net/appliance/instance_monitor.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/net/appliance/operator_page.hpp
+++ b/src/net/appliance/operator_page.hpp
@@ -13,7 +13,7 @@
 #include "config/appliance.hpp"
 #include "core/conductor.hpp"
 #include "net/appliance/agent_check.hpp"
-#include "net/appliance/box_watch.hpp"
+#include "net/appliance/instance_monitor.hpp"
 #include "net/http/http_server.hpp"
 
 namespace bankmux::net {
