--- a/src/net/http/input_times.cpp
+++ b/src/net/http/input_times.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-constexpr core::Duration kResolution =
-    20ms;                              // reads closer together count as one, with the time of the first
+// Reads closer together count as one, with the time of the first.
+constexpr core::Duration kResolution = 20ms;
 constexpr std::size_t kMaxReads = 64;  // input after these counts as old as the last of them
 
 }  // namespace
--- a/src/net/http/input_times.hpp
+++ b/src/net/http/input_times.hpp
@@ -14,8 +14,8 @@
  public:
   // `buffered_bytes` wait now, the last of which came at `time`.
   void add(std::size_t buffered_bytes, core::Time time);
-  // Removes the first bytes. Returns when the last of these came, or a little earlier;
-  // empty if it is not among those added.
+  // Removes the first bytes. Returns when the last of these came, or a little earlier; empty if it is not
+  // among those added.
   std::optional<core::Time> consume(std::size_t bytes);
   void clear() { reads_.clear(); }
 
