Take a stream for whole by its end marker, not by the end of its framing

Cause: HttpAttempt::verdict (src/net/instances/instance_client.cpp) asked only whether the HTTP response was complete and held no error event. Its class: the end of a frame taken for the end of the message.

Change: the platform's stream is served once [DONE] (or a response's last event) has come as a complete event and the framing has ended well; choices are counted. How each answer ended is in the request's log line (answer_end), which the evidence could not tell.

--- a/src/app/request_log.cpp
+++ b/src/app/request_log.cpp
@@ -75,6 +75,33 @@
   return "";
 }
 
+const char* label(core::AnswerEnd end) {
+  using core::AnswerEnd;
+  switch (end) {
+    case AnswerEnd::none:
+      return "none";
+    case AnswerEnd::whole:
+      return "whole";
+    case AnswerEnd::no_end_marker:
+      return "end marker missing";
+    case AnswerEnd::closed:
+      return "connection closed";
+    case AnswerEnd::reset:
+      return "connection reset";
+    case AnswerEnd::malformed:
+      return "malformed";
+    case AnswerEnd::error_event:
+      return "error event";
+    case AnswerEnd::too_large:
+      return "too large";
+    case AnswerEnd::timed_out:
+      return "timed out";
+    case AnswerEnd::silent:
+      return "silent";
+  }
+  return "";
+}
+
 // Microseconds as whole milliseconds; null if the time is negative, that is, not known.
 nlohmann::json milliseconds(core::Duration time) {
   return time.count() < 0 ? nlohmann::json() : nlohmann::json(time.count() / 1000);
@@ -90,7 +117,8 @@
                     {"written_ms", milliseconds(attempt.written)},
                     {"ended_ms", milliseconds(attempt.ended)},
                     {"end", label(attempt.outcome)},
-                    {"answered", attempt.answered}});
+                    {"answered", attempt.answered},
+                    {"answer_end", label(attempt.answer_end)}});
   }
   return list;
 }
--- a/src/core/conductor.hpp
+++ b/src/core/conductor.hpp
@@ -116,6 +116,7 @@
     bool passed_on = false;
     bool ended_by_instance = false;  // by the instance, which no longer works on the request
     bool answered = false;           // the instance has answered something, so the attempt had arrived
+    AnswerEnd answer_end = AnswerEnd::none;
   };
   // One attempt, from the module's Send to its end.
   struct CurrentAttempt {
--- a/src/core/ports.hpp
+++ b/src/core/ports.hpp
@@ -129,14 +129,29 @@
 // other instance would reject it too.
 enum class Verdict { broken, served, state_held, busy, no_state, error, rejected };
 
+// How an instance's answer ended, for the log.
+enum class AnswerEnd {
+  none,           // there was none
+  whole,          // complete, or a status that needs no body
+  no_end_marker,  // its framing ended well, but its stream was not complete
+  closed,         // the instance closed the connection within it
+  reset,          // the connection failed within it
+  malformed,
+  error_event,  // an error event within its stream
+  too_large,
+  timed_out,  // within its head or body
+  silent,     // within its stream
+};
+
 struct AttemptResult {
   Progress progress = Progress::not_connected;
   Verdict verdict = Verdict::broken;
   Tokens cached_tokens = 0;  // prompt tokens found in the instance's KV cache
   eiderarch::LoadReport report;
   bool ended_by_error_event = false;  // ended by an error event within the stream
-  AnswerPtr answer;                   // set if the request was rejected
-  std::string last_data;              // of the answer, not passed to AttemptEvents::on_data before
+  AnswerEnd answer_end = AnswerEnd::none;
+  AnswerPtr answer;       // set if the request was rejected
+  std::string last_data;  // of the answer, not passed to AttemptEvents::on_data before
   // This side closed the connection before the instance had answered completely or ended it. The instance may
   // go on with the request until it receives the close.
   bool closed_here = false;
--- a/src/core/request_lifecycle.cpp
+++ b/src/core/request_lifecycle.cpp
@@ -207,7 +207,7 @@
   if (end.answered) fleet_.record_answer(attempt.command.engine, now);
   r.trail.push_back({member != nullptr ? member->target.id : "?", attempt.prefill, attempt.sent - r.arrived,
                      attempt.written ? *attempt.written - r.arrived : Duration{-1}, now - r.arrived,
-                     end.outcome, end.answered});
+                     end.outcome, end.answered, end.answer_end});
 }
 
 void Conductor::account_for_execution(Request& r, const CurrentAttempt& attempt) {
@@ -315,6 +315,7 @@
   AttemptEnd end;
   end.outcome = outcome_of(result, prefill);
   end.ended_by_instance = !result.closed_here;
+  end.answer_end = result.answer_end;
   end.answered = result.verdict != Verdict::broken || result.progress >= Progress::head;
   if (result.verdict == Verdict::broken) {
     end.ended_by_error_event = result.ended_by_error_event;
--- a/src/core/request_record.hpp
+++ b/src/core/request_record.hpp
@@ -26,6 +26,7 @@
   Duration ended{0};
   eiderarch::Outcome outcome = eiderarch::Outcome::error;
   bool answered = false;  // its instance has sent any answer
+  AnswerEnd answer_end = AnswerEnd::none;
 };
 
 // Summary of one request's lifecycle, passed to the observer once the request has ended.
--- a/src/core/stream.cpp
+++ b/src/core/stream.cpp
@@ -60,7 +60,9 @@
       }
       ++figures_.suspected;
     }
-    return AttemptEnd{Outcome::reset, 0, {}, false};
+    AttemptEnd silent{Outcome::reset, 0, {}, false};
+    silent.answer_end = AnswerEnd::silent;
+    return silent;
   } else if (std::holds_alternative<PassedOn>(event)) {
     return AttemptEnd{Outcome::cancelled, 0, {}, false, false, {}, true};
   }
--- a/src/net/http/payload.hpp
+++ b/src/net/http/payload.hpp
@@ -1,6 +1,7 @@
 // Request and response contents that the core forwards without interpreting them.
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <utility>
 #include <vector>
@@ -15,8 +16,9 @@
   std::string target;                                        // path and query
   std::vector<std::pair<std::string, std::string>> headers;  // end-to-end headers as received
   std::string body;
-  std::string tenant;    // name for the log; empty if unknown
-  bool streamed = true;  // the answer is an event stream; otherwise a single JSON object
+  std::string tenant;        // name for the log; empty if unknown
+  bool streamed = true;      // the answer is an event stream; otherwise a single JSON object
+  std::int64_t choices = 1;  // of the answer
 };
 
 struct Answer {
--- a/src/net/instances/instance_client.cpp
+++ b/src/net/instances/instance_client.cpp
@@ -93,7 +93,11 @@
                            {"event_lines", scanner_state.data_lines},
                            {"skip", scanner_state.skip},
                            {"after_cr", scanner_state.after_cr},
-                           {"failed", scanner_state.failed}},
+                           {"failed", scanner_state.failed},
+                           {"done", scanner_state.done},
+                           {"at_start", scanner_state.at_start},
+                           {"event_too_long", scanner_state.event_too_long},
+                           {"may_end", scanner_state.may_end_answer}},
                           text);
   return text;
 }
@@ -106,8 +110,18 @@
     return std::string(value.begin(), value.end());
   };
   ResponseParser::BodyPosition position{state.at("part"), state.at("left"), bytes("line"), state.at("keep")};
-  sse::StreamScanner::State scanner_state{bytes("event_line"), bytes("event_data"),  state.at("event_lines"),
-                                          state.at("skip"),    state.at("after_cr"), state.at("failed")};
+  sse::StreamScanner::State scanner_state;
+  scanner_state.line = bytes("event_line");
+  scanner_state.data = bytes("event_data");
+  scanner_state.data_lines = state.at("event_lines");
+  scanner_state.skip = state.at("skip");
+  scanner_state.after_cr = state.at("after_cr");
+  scanner_state.failed = state.at("failed");
+  // An earlier version does not say the rest. A stream is then taken for complete only by what follows.
+  scanner_state.done = state.value("done", false);
+  scanner_state.at_start = state.value("at_start", false);
+  scanner_state.event_too_long = state.value("event_too_long", false);
+  scanner_state.may_end_answer = state.value("may_end", true);
   return {std::move(position), std::move(scanner_state)};
 }
 
@@ -124,6 +138,7 @@
         dialect_(dialect),
         streamed_(payload->streamed),
         max_body_(dialect == Dialect::platform ? kMaxBodyBytes : kMaxChatBodyBytes),
+        scanner_(payload->choices),
         exchange_(
             pool, target.address,
             [&loop, target, payload, not_after, dialect] {
@@ -168,7 +183,7 @@
   }
   // Until an answer that is not streamed begins, only the request's deadline limits the wait for it.
   void on_body_part(std::string_view bytes) {
-    end_timer_ = loop_.at(loop_.now() + kMaxAnswerSilence, [this] { on_end(false); });
+    end_timer_ = loop_.at(loop_.now() + kMaxAnswerSilence, [this] { on_end(ExchangeEnd::timed_out); });
     if (body_.size() + bytes.size() <= max_body_) {
       body_ += bytes;
     } else {
@@ -213,11 +228,12 @@
     // Instances need not end the response after the last event, and some do not.
     if (answer_complete_)
       end_timer_ = loop_.at(loop_.now() + (scanner_.done() ? kGraceAfterDone : Duration{0}),
-                            [this] { on_end(false); });
+                            [this] { on_end(ExchangeEnd::timed_out); });
     if (!complete_events.empty())
       events_.on_data(std::move(complete_events));  // last: it may destroy this object
   }
-  void on_end(bool complete) override {
+  void on_end(ExchangeEnd end) override {
+    const bool complete = end == ExchangeEnd::complete;
     const ResponseParser& response = exchange_.response();
     end_timer_.reset();
     if (complete && !streamed_ && response.status() == 200) cached_tokens_ = sse::cached_tokens(body_);
@@ -227,6 +243,7 @@
     result.verdict = verdict(complete && !too_large_);
     result.report = scanner_.report();
     result.ended_by_error_event = scanner_.failed();
+    result.answer_end = answer_end(end, result.verdict);
     if (const auto report = response.header("X-Pressure"); !report.empty())
       result.report = sse::parse_report(report);
     result.cached_tokens = scanner_.reported_cached_tokens();
@@ -258,7 +275,7 @@
     static_cast<void>(std::exchange(body_, {}));
     static_cast<void>(std::exchange(unsent_prefix_, {}));
     static_cast<void>(std::exchange(splitter_, sse::EventSplitter{kMaxEventBytes}));
-    static_cast<void>(std::exchange(scanner_, {}));
+    static_cast<void>(std::exchange(scanner_, sse::StreamScanner()));
   }
   // A stream where a JSON object was requested, or the reverse.
   [[nodiscard]] bool has_wrong_content_type() const {
@@ -273,8 +290,7 @@
     if (!response.has_head()) return Verdict::broken;
     const int status = response.status();
     if (status == 200 && dialect_ == Dialect::openai) return chat_verdict(complete);
-    if (status == 200)
-      return !complete || has_wrong_content_type() || scanner_.failed() ? Verdict::broken : Verdict::served;
+    if (status == 200) return stream_verdict(complete);
     // Only this header proves that nothing was executed; a bare 503 may come from an intermediary.
     const bool not_executed = response.header("X-Turned-Away") == "1";
     if (not_executed && (status == 503 || status == 504)) return Verdict::busy;
@@ -287,6 +303,11 @@
     const bool client_error = status >= 400 && status < 500 && status != 408 && status != 429;
     return client_error && complete ? Verdict::rejected : Verdict::error;
   }
+  // The end of the framing alone does not prove that the stream is complete, nor does its last event.
+  [[nodiscard]] Verdict stream_verdict(bool complete) const {
+    const bool whole = complete && scanner_.done() && !scanner_.failed() && !has_wrong_content_type();
+    return whole ? Verdict::served : Verdict::broken;
+  }
   [[nodiscard]] Verdict chat_verdict(bool complete) const {
     if (has_wrong_content_type()) return Verdict::error;
     if (!streamed_) {
@@ -298,6 +319,29 @@
     return complete && scanner_.finished() && !splitter_.within_event() ? Verdict::served : Verdict::broken;
   }
 
+  [[nodiscard]] core::AnswerEnd answer_end(ExchangeEnd end, Verdict verdict) const {
+    using core::AnswerEnd;
+    if (too_large_) return AnswerEnd::too_large;
+    if (scanner_.failed()) return AnswerEnd::error_event;
+    if (verdict == Verdict::served) return AnswerEnd::whole;
+    switch (end) {
+      case ExchangeEnd::complete:
+        return exchange_.response().status() == 200 && streamed_ ? AnswerEnd::no_end_marker
+                                                                 : AnswerEnd::whole;
+      case ExchangeEnd::not_sent:
+        return AnswerEnd::none;
+      case ExchangeEnd::closed:
+        return AnswerEnd::closed;
+      case ExchangeEnd::reset:
+        return AnswerEnd::reset;
+      case ExchangeEnd::malformed:
+        return AnswerEnd::malformed;
+      case ExchangeEnd::timed_out:
+        return AnswerEnd::timed_out;
+    }
+    return AnswerEnd::none;
+  }
+
   Loop& loop_;
   std::function<bool()> may_write_;
   core::AttemptEvents& events_;
@@ -326,7 +370,7 @@
        core::ConnectionTerms terms, std::function<bool()> may_write, Done done)
       : may_write_(std::move(may_write)),
         done_(std::move(done)),
-        timeout_(loop.at(loop.now() + kCallTimeout, [this] { on_end(false); })),
+        timeout_(loop.at(loop.now() + kCallTimeout, [this] { on_end(ExchangeEnd::timed_out); })),
         exchange_(std::make_unique<Exchange>(
             pool, address, [text = std::move(request)] { return text; }, nullptr, terms, *this)) {}
 
@@ -342,10 +386,10 @@
   }
   [[nodiscard]] std::size_t held_bytes() const override { return sse::allocated_bytes(body_); }
   void release_held_bytes() override { static_cast<void>(std::exchange(body_, {})); }
-  void on_end(bool complete) override {
+  void on_end(ExchangeEnd end) override {
     const Done done = std::move(done_);
     timeout_.reset();
-    done(*this, complete);  // last: it destroys this object
+    done(*this, end == ExchangeEnd::complete);  // last: it destroys this object
   }
 
   std::function<bool()> may_write_;
--- a/src/net/instances/instance_pool.cpp
+++ b/src/net/instances/instance_pool.cpp
@@ -70,7 +70,8 @@
   if (!reused_) connection_ = pool_.connect(address_);
   if (connection_ == nullptr || reused_) {
     // Deferred to the loop, because no event may come from within the constructor.
-    timeout_ = pool_.loop_.at(pool_.loop_.now(), [this] { reused_ ? on_connected() : finish(false); });
+    timeout_ = pool_.loop_.at(pool_.loop_.now(),
+                              [this] { reused_ ? on_connected() : finish(ExchangeEnd::not_sent); });
   } else {
     arm_connect_timeout();
   }
@@ -94,7 +95,7 @@
   }
   ++pool_.open_;
   if (!parser_.resume_stream(position)) {
-    timeout_ = pool_.loop_.at(pool_.loop_.now(), [this] { finish(false); });
+    timeout_ = pool_.loop_.at(pool_.loop_.now(), [this] { finish(ExchangeEnd::malformed); });
     return;
   }
   set_callbacks();
@@ -123,7 +124,7 @@
           if (what & BEV_EVENT_CONNECTED) {
             exchange->on_connected();
           } else {
-            exchange->on_closed();
+            exchange->on_closed(what);
           }
         });
       },
@@ -146,13 +147,13 @@
 void Exchange::arm_connect_timeout() {
   timeout_ = pool_.loop_.at(pool_.loop_.now() + pool_.limits_.connect_timeout, [this] {
     pollfd connecting{bufferevent_getfd(connection_.get()), POLLOUT, 0};
-    poll(&connecting, 1, 0) > 0 ? arm_connect_timeout() : finish(false);
+    poll(&connecting, 1, 0) > 0 ? arm_connect_timeout() : finish(ExchangeEnd::not_sent);
   });
 }
 
 void Exchange::on_connected() {
   timeout_.reset();
-  if (!events_.may_write()) return finish(false);
+  if (!events_.may_write()) return finish(ExchangeEnd::not_sent);
   progress_ = Progress::unwritten;
   bufferevent_enable(connection_.get(), EV_READ | EV_WRITE);
   const std::string head = std::exchange(head_, {})();
@@ -215,12 +216,12 @@
   response_started_ = true;
   std::string body;
   const std::size_t used = parser_.feed(bytes, body);
-  if (parser_.state() == ResponseParser::State::bad) return finish(false);
+  if (parser_.state() == ResponseParser::State::bad) return finish(ExchangeEnd::malformed);
   const bool head = parser_.has_head();
   if (head ? parser_.status() != 200 : parser_.within_head()) {
     if (!timeout_ || (head && progress_ < Progress::head)) {
-      timeout_ =
-          pool_.loop_.at(pool_.loop_.now() + (head ? kBodyTimeout : kHeadTimeout), [this] { finish(false); });
+      timeout_ = pool_.loop_.at(pool_.loop_.now() + (head ? kBodyTimeout : kHeadTimeout),
+                                [this] { finish(ExchangeEnd::timed_out); });
     }
   } else {
     timeout_.reset();
@@ -246,7 +247,7 @@
   if (pool_.may_reuse(true) && parser_.keep_alive() && used == bytes.size() && !early) {
     pool_.add_idle(address_, std::move(connection_), is_attempt_);
   }
-  finish(true);
+  finish(ExchangeEnd::complete);
 }
 
 void Exchange::update_memory() {
@@ -262,27 +263,30 @@
   close();
   parser_ = ResponseParser();
   events_.release_held_bytes();
-  timeout_ = pool_.loop_.at(pool_.loop_.now(), [this] { finish(false); });
+  timeout_ = pool_.loop_.at(pool_.loop_.now(), [this] { finish(ExchangeEnd::timed_out); });
 }
 
-void Exchange::on_closed() {
+void Exchange::on_closed(short events) {
   // Input that arrived together with the close is read first.
   if (connection_ != nullptr && evbuffer_get_length(bufferevent_get_input(connection_.get())) > 0) {
     return on_readable();
   }
   if (reused_ && !response_started_) pool_.record_reuse(false);
   closed_here_ = false;
-  finish(parser_.finish_at_close());
+  if (progress_ == Progress::not_connected) return finish(ExchangeEnd::not_sent);
+  if ((events & BEV_EVENT_EOF) == 0) return finish(ExchangeEnd::reset);
+  finish(parser_.finish_at_close() ? ExchangeEnd::complete : ExchangeEnd::closed);
 }
 
 // Must be called last: the event handler may destroy this exchange.
-void Exchange::finish(bool complete) {
+void Exchange::finish(ExchangeEnd end) {
+  const bool complete = end == ExchangeEnd::complete;
   if (complete) closed_here_ = false;
   progress_ = complete ? Progress::ended : progress();
   close();
   // An exchange that has ended can't be given up any more.
   memory_.set(0, 0, pool_.loop_.now());
-  events_.on_end(complete);
+  events_.on_end(end);
 }
 
 void Exchange::close() {
--- a/src/net/instances/instance_pool.hpp
+++ b/src/net/instances/instance_pool.hpp
@@ -27,6 +27,16 @@
 
 class InstancePool;
 
+// How an exchange ended. All but `complete` leave its response incomplete in HTTP's terms.
+enum class ExchangeEnd {
+  complete,
+  not_sent,   // no connection came up, or `may_write` refused
+  closed,     // the other side closed the connection
+  reset,      // the connection failed
+  malformed,  // the response is no valid HTTP
+  timed_out,  // the response was given up here
+};
+
 // One request and its response on one connection. Destroying it before its end closes the connection, and is
 // allowed within each of its events but may_write. No event is raised from within the constructor, and none
 // after `on_end`.
@@ -39,7 +49,7 @@
     virtual bool may_write() = 0;
     virtual void on_written() = 0;
     virtual void on_body(std::string bytes) = 0;  // the response head is complete by then
-    virtual void on_end(bool complete) = 0;
+    virtual void on_end(ExchangeEnd end) = 0;
     // Memory in bytes that the handler holds of an answer that is not complete, and its release, after which
     // only on_end follows.
     [[nodiscard]] virtual std::size_t held_bytes() const { return 0; }
@@ -79,8 +89,9 @@
   void queue_body(std::size_t offset);
   void on_output_written();
   void on_readable();
-  void on_closed();
-  void finish(bool complete);
+  // `events`: as libevent reports them (BEV_EVENT_...).
+  void on_closed(short events);
+  void finish(ExchangeEnd end);
   void close();
   void update_memory();
   // Gives up the answer and frees what it holds.
--- a/src/net/openai/facts.cpp
+++ b/src/net/openai/facts.cpp
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "net/openai/errors.hpp"
+#include "recovery/recovery.hpp"
 
 namespace bankmux::net::openai {
 
@@ -140,6 +141,7 @@
   RequestFacts facts;
   facts.arrived.request_class = model_of(body, appliance).request_class;
   facts.streamed = flag_in(body, "stream");
+  facts.choices = recovery::requested_choices(body);
   if (const auto options = body.find("stream_options"); options != body.end() && options->is_object()) {
     facts.include_usage = flag_in(*options, "include_usage");
   }
--- a/src/net/openai/facts.hpp
+++ b/src/net/openai/facts.hpp
@@ -17,6 +17,7 @@
   eiderarch::Tokens max_answer_tokens = 0;
   bool streamed = false;
   bool include_usage = false;
+  std::int64_t choices = 1;  // of the answer
 };
 
 // The model that a request names; throws RequestError (404) if it is not offered.
--- a/src/net/openai/front.cpp
+++ b/src/net/openai/front.cpp
@@ -375,6 +375,7 @@
   }
   payload->body = std::move(prepared.body);
   payload->streamed = prepared.facts.streamed;
+  payload->choices = prepared.facts.choices;
   core::ClientRequest ask{prepared.facts.arrived, payload, payload->id};
   ask.facts.tenant = appliance_.tenant_index(ticket->tenant);
   ask.waited = incoming->waited();
--- a/src/recovery/recovery.cpp
+++ b/src/recovery/recovery.cpp
@@ -127,7 +127,8 @@
             member(*delta, "tool_calls") != nullptr || member(*delta, "function_call") != nullptr;
       }
       written.other_output |= has_other_output(choice, format);
-      written.finished |= member(choice, "finish_reason") != nullptr;
+      if (member(choice, "finish_reason") != nullptr)
+        written.finished_choices.insert(number(choice, "index"));
     }
   });
   written.min_tokens = text_events;
@@ -137,6 +138,16 @@
   return written;
 }
 
+std::int64_t requested_choices(const json& request) {
+  std::int64_t choices = member(request, "n") != nullptr ? number(request, "n") : 1;
+  const json* prompts = member(request, "prompt");
+  // An array of numbers is one prompt, given as tokens.
+  const bool several =
+      prompts != nullptr && prompts->is_array() && !prompts->empty() && !prompts->front().is_number();
+  if (several) choices *= std::int64_t(prompts->size());
+  return std::max<std::int64_t>(choices, 1);
+}
+
 std::string StreamRecovery::retain(std::string out) {
   if (mode_ == ContinuationMode::none || too_long_) return out;
   too_long_ = retained_.size() + out.size() > kMaxRetainedBytes;
@@ -257,7 +268,7 @@
   const json request = json::parse(body, nullptr, false);
   if (!request.is_object()) return give_up("the request can't be read");
   written_ = read_events(retained_, format_);
-  if (written_.finished) {
+  if (std::int64_t(written_.finished_choices.size()) >= requested_choices(request)) {
     next.action = Continuation::Action::finish;
     next.bytes = retain("data: [DONE]\n\n");
     return next;
--- a/src/recovery/recovery.hpp
+++ b/src/recovery/recovery.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -30,7 +31,8 @@
   std::int64_t min_tokens = 0;
   // An estimate: `min_tokens`, or one for each four bytes of text if that is more.
   std::int64_t tokens = 0;
-  bool tool_calls = false, other_choices = false, finished = false;
+  bool tool_calls = false, other_choices = false;
+  std::set<std::int64_t> finished_choices;  // by index
   // Output that is not in `text`: a refusal, reasoning, audio, or what could not be read.
   bool other_output = false;
   // The fields that every event repeats: id, created, model and so on.
@@ -39,6 +41,9 @@
 };
 WrittenAnswer read_events(std::string_view events, AnswerFormat format);
 
+// How many choices the answer to a request has: `n` for each of its prompts.
+[[nodiscard]] std::int64_t requested_choices(const nlohmann::json& request);
+
 // What to do with a stream whose instance is lost.
 struct Continuation {
   enum class Action {
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -116,6 +116,26 @@
   CHECK_FALSE(net::ResponseParser().resume_stream({99, 0, "", true}));
 }
 
+TEST_CASE("Whole: a stream scanned by two processes ends as if one had scanned it, at any cut") {
+  const std::string whole =
+      "data: {\"choices\":[{\"finish_reason\":\"stop\"}]}\r\n\r\ndata: [DONE]\r\n\r\n: more\n\n";
+  const std::string not_whole = "data: {\"a\":1}\n\n: data: [DONE]\n\ndata: [DONE]\n";
+  for (const std::string& text : {whole, not_whole}) {
+    sse::StreamScanner alone;
+    alone.feed(text);
+    REQUIRE(alone.done() == (text == whole));
+    for (std::size_t at = 0; at <= text.size(); ++at) {
+      CAPTURE(text, at);
+      sse::StreamScanner first;
+      first.feed(text.substr(0, at));
+      sse::StreamScanner second(first.state());
+      second.feed(text.substr(at));
+      CHECK(second.done() == alone.done());
+      CHECK(second.finished() == alone.finished());
+    }
+  }
+}
+
 // Guards against a handover that copied the unsent output wrongly: the response head arrived as zeros, and
 // the client could not read the answer.
 TEST_CASE("Unsent output of a client is handed over with its connection, response head included") {
--- a/tests/integration/delayed_loop_test.cpp
+++ b/tests/integration/delayed_loop_test.cpp
@@ -25,13 +25,13 @@
 
 std::string get_head() { return "GET / HTTP/1.1\r\nHost: instance\r\n\r\n"; }
 
-struct ExchangeEnd : net::Exchange::Events {
-  explicit ExchangeEnd(net::Loop& loop) : loop(loop) {}
+struct EndRecorder : net::Exchange::Events {
+  explicit EndRecorder(net::Loop& loop) : loop(loop) {}
   bool may_write() override { return true; }
   void on_written() override {}
   void on_body(std::string) override {}
-  void on_end(bool is_complete) override {
-    complete = is_complete;
+  void on_end(net::ExchangeEnd end) override {
+    complete = end == net::ExchangeEnd::complete;
     loop.stop();
   }
   net::Loop& loop;
@@ -86,12 +86,12 @@
   constexpr core::Duration kIdle = 100ms;
   net::Loop loop;
   net::InstancePool pool(loop, {.idle_timeout = kIdle});
-  const auto get = [&](ExchangeEnd& ending) {
+  const auto get = [&](EndRecorder& ending) {
     return std::make_unique<net::Exchange>(pool, instance.address(), get_head, nullptr, kAnyConnection,
                                            ending);
   };
 
-  ExchangeEnd first(loop), second(loop);
+  EndRecorder first(loop), second(loop);
   std::unique_ptr<net::Exchange> exchange = get(first);
   loop.run();
   REQUIRE(first.complete == true);
@@ -124,7 +124,7 @@
     bool may_write() override { return true; }
     void on_written() override {}
     void on_body(std::string) override {}
-    void on_end(bool) override {
+    void on_end(net::ExchangeEnd) override {
       if (++ended == 2) loop.stop();
     }
     net::Loop& loop;
@@ -166,9 +166,9 @@
     bool may_write() override { return true; }
     void on_written() override {}
     void on_body(std::string) override {}
-    void on_end(bool is_complete) override {
+    void on_end(net::ExchangeEnd end) override {
       ++ended;
-      complete += is_complete ? 1 : 0;
+      complete += end == net::ExchangeEnd::complete ? 1 : 0;
     }
     int ended = 0, complete = 0;
   } served;
--- a/tests/integration/operations_test.cpp
+++ b/tests/integration/operations_test.cpp
@@ -295,6 +295,36 @@
   CHECK(next->wait() == 0);
 }
 
+TEST_CASE("Whole: a handed-over stream is whole by its end marker, whichever process has read that") {
+  const std::string first = "data: 1\n\n", done = "data: [DONE]\n\n";
+  for (const auto& [before, after, whole] :
+       {std::tuple(first + done, std::string(), true), std::tuple(first, done, true),
+        std::tuple(first + done.substr(0, 9), done.substr(9), true),
+        std::tuple(first, std::string("data: 2\n\n"), false), std::tuple(first, std::string(), false)}) {
+    CAPTURE(before, after);
+    EventLog seen;
+    ScriptedServer instance([&, before = before, after = after](TestConnection& wire) {
+      if (!wire.receive()) return;
+      wire.send(stream_head() + chunk(before));
+      if (!seen.wait_for("go on", 1, 20000)) return;
+      wire.send((after.empty() ? "" : chunk(after)) + "0\r\n\r\n");
+      (void)wire.closed_within(2000);
+    });
+    ManagedConductor conductor({{"s", "mixto", instance.address()}}, true);
+    const auto client = conductor.platform.connect();
+    client->send(client_request("held", "ajuste", 5000, 100));
+    const std::string begun = client->receive_until(before);
+    REQUIRE(begun.ends_with(before));
+    const auto next = next_version(conductor, unique_address());
+    conductor.platform.program().terminate();
+    CHECK(conductor.platform.program().wait() == 0);
+    seen.add("go on");
+    CHECK(client->receive_all().ends_with("0\r\n\r\n") == whole);
+    next->terminate();
+    CHECK(next->wait() == 0);
+  }
+}
+
 // Guards against an ajuste that runs twice because the other process of an upgrade does not know its id.
 TEST_CASE("During an upgrade the id of a request that is open in one process is refused by the other") {
   EventLog seen;
--- a/tests/integration/platform_protocol_test.cpp
+++ b/tests/integration/platform_protocol_test.cpp
@@ -200,7 +200,7 @@
   ScriptedServer decode_instance(scripted_instance(seen, [&](TestConnection& wire, const Message&) {
     wire.send(stream_head() + chunk("data: one\n\n"));
     seen.wait_for("client has one");
-    wire.send(chunk("data: two\n\n") + "0\r\n\r\n");
+    wire.send(chunk("data: two\n\n") + chunk("data: [DONE]\n\n") + "0\r\n\r\n");
     return true;
   }));
   Platform platform({{"w", "mixto", decode_instance.address()}});
--- a/tests/integration/race_condition_test.cpp
+++ b/tests/integration/race_condition_test.cpp
@@ -94,7 +94,7 @@
   const std::string text(200 * 1024, 'y');
   ScriptedServer instance([&](TestConnection& wire) {
     if (!wire.receive()) return;
-    wire.send(stream_head() + chunk("data: " + text + "\n\n") + "0\r\n\r\n");
+    wire.send(stream_head() + chunk("data: " + text + "\n\n") + chunk("data: [DONE]\n\n") + "0\r\n\r\n");
     seen.add("written");
   });
   Platform platform({{"w", "mixto", instance.address()}});
@@ -621,7 +621,7 @@
       wire.send(text.substr(2));
       if (!seen.wait_for("has " + std::to_string(i))) return;
     }
-    wire.send("0\r\n\r\n");
+    wire.send(chunk("data: [DONE]\n\n") + "0\r\n\r\n");
   });
   Platform platform({{"w", "mixto", instance.address()}});
   std::atomic<bool> ending{false};
--- a/tests/integration/whole_answer_test.cpp
+++ b/tests/integration/whole_answer_test.cpp
@@ -112,3 +112,118 @@
     }
   }
 }
+
+TEST_CASE("Whole: a stream that ends before its first event is no answer and runs again only where allowed") {
+  for (const std::string& body : {std::string(), std::string(": a comment\n\n"), std::string("data: {\"cho"),
+                                  kFirst.substr(0, kFirst.size() - 1)}) {
+    for (const Framing framing : kFramings) {
+      CAPTURE(body, int(framing));
+      EventLog seen;
+      std::atomic<int> asked{0};
+      const auto script = answering(seen, [&](TestConnection& wire, const Message&) {
+        const bool first = asked++ == 0;
+        wire.send(first ? framed(framing, body) : framed(Framing::chunked, kEvents + kDone));
+        return !first || !ends_with_connection(framing);
+      });
+      ScriptedServer one(script), two(script);
+      Platform platform({{"a", "mixto", one.address()}, {"b", "mixto", two.address()}});
+      const std::string safe = platform.ask(client_request("safe", "consulta", 5000, 100));
+      CHECK(content_of(safe) == kEvents + kDone);
+      CHECK(is_whole(safe));
+      CHECK(asked == 2);
+      asked = 0;
+      CHECK(platform.ask(client_request("once", "ajuste", 5000, 100)).starts_with("HTTP/1.1 502"));
+      CHECK(asked == 1);
+    }
+  }
+}
+
+TEST_CASE("Whole: a stream with its end marker ends whole in every framing, line end and piece") {
+  const auto with_line_end = [](const std::string& end) {
+    std::string text;
+    for (const char c : kEvents + kDone) text += c == '\n' ? end : std::string(1, c);
+    return text;
+  };
+  const std::string bodies[] = {
+      kEvents + kDone,
+      with_line_end("\r\n"),
+      with_line_end("\r"),
+      "\xEF\xBB\xBF" + kEvents + kDone,
+      kEvents + "data:[DONE]\n\n",
+      kEvents + kDone + ": X-Pressure: inflight=7,queue=2\n\n",
+      kEvents + kDone + ": X-Pressure: inflight=7",
+      kEvents + "id: 7\ndata: [DONE]\n\n",
+      ": hello\n\n" + kEvents + ": still here\n\n" + kDone,
+      "data: " + std::string(100'000, 'x') + "\n\n" + kEvents + kDone,
+      kEvents + "event: response.completed\ndata: {\"type\":\"response.completed\"}\n\n"};
+  for (const std::string& body : bodies) {
+    for (const Framing framing : kFramings) {
+      CAPTURE(body.substr(0, 300), int(framing));
+      EventLog seen;
+      ScriptedServer instance(answering(seen, [&](TestConnection& wire, const Message& request) {
+        const std::string answer = framed(framing, body);
+        const bool in_pieces = request.headers.at("x-txn") == "pieces" && body.size() < 10'000;
+        for (std::size_t at = 0; at < answer.size(); at += in_pieces ? 1 : answer.size())
+          wire.send(answer.substr(at, in_pieces ? 1 : answer.size()));
+        return !ends_with_connection(framing);
+      }));
+      Platform platform({{"w", "mixto", instance.address()}});
+      for (const char* id : {"at-once", "pieces"}) {
+        const std::string answer = platform.ask(client_request(id, "ajuste", 5000, 100));
+        CHECK(content_of(answer) == body);
+        CHECK(is_whole(answer));
+      }
+    }
+  }
+}
+
+TEST_CASE("Whole: an answer that only the connection's end delimits is broken by a reset") {
+  EventLog seen;
+  ScriptedServer instance(answering(seen, [&](TestConnection& wire, const Message&) {
+    wire.send(framed(Framing::until_close, kEvents + kDone));
+    (void)seen.wait_for("client has it");
+    wire.reset();
+    return false;
+  }));
+  Platform platform({{"w", "mixto", instance.address()}});
+  const auto client = platform.connect();
+  client->send(client_request("t", "ajuste", 5000, 100));
+  CHECK(client->receive_until(kDone).find(kLast) != std::string::npos);
+  seen.add("client has it");
+  CHECK_FALSE(client->receive_all().ends_with("0\r\n\r\n"));
+}
+
+TEST_CASE("Whole: a chat stream of several choices is whole only once each of them has finished") {
+  const auto event = [](int index, const char* content, const char* finish) {
+    return "data: {\"choices\":[{\"index\":" + std::to_string(index) + ",\"delta\":{\"content\":\"" +
+           content +
+           "\"},\"finish_reason\":" + (finish == nullptr ? "null" : "\"" + std::string(finish) + "\"") +
+           "}]}\n\n";
+  };
+  const std::string one_finished = event(0, "a", nullptr) + event(1, "b", nullptr) + event(0, "", "stop");
+  const std::string one_unseen = event(0, "a", nullptr) + event(0, "", "stop");
+  const std::string both = one_finished + event(1, "", "length");
+  const nlohmann::json with_continuation = {
+      {"models", {{{"name", "m-consulta"}, {"class", "consulta"}, {"continuation", "final_message"}}}}};
+  nlohmann::json request = nlohmann::json::parse(Appliance::body("m-consulta", true));
+  request["n"] = 2;
+  for (const nlohmann::json& changes : {nlohmann::json::object(), with_continuation}) {
+    for (const std::string& body : {one_finished, one_unseen, both}) {
+      for (const bool framed_whole : {true, false}) {
+        CAPTURE(changes.dump(), body, framed_whole);
+        EventLog seen;
+        ScriptedServer instance(instance_script(seen, [&](TestConnection& wire, const Message&) {
+          wire.send(stream_head() + chunk(body) + (framed_whole ? "0\r\n\r\n" : ""));
+          return framed_whole;
+        }));
+        Appliance appliance({instance.address()}, changes);
+        const std::string answer = appliance.chat(request.dump());
+        // Without its framing's end, a finished answer may be completed only from what the conductor kept.
+        const bool completed = body == both && (framed_whole || !changes.empty());
+        CHECK(is_whole(answer) == completed);
+        CHECK(contains(answer, kDone) == completed);
+        CHECK(contains(answer, "stream_broken") == !completed);
+      }
+    }
+  }
+}
