--- a/src/core/conductor.hpp
+++ b/src/core/conductor.hpp
@@ -24,9 +24,8 @@
 
 struct ConductorSettings {
   eiderarch::Settings module;
-  // A stream without an event for this long has lost its instance. Events arrive every few tokens, and the
-  // client must be informed within 5 s.
-  Duration stall_limit{4'000'000};
+  // A stream without an event for this long has lost its instance.
+  Duration stall_limit = kMaxAnswerSilence;
   // How late an update from discovery may arrive here although it already counts for the drain's grace.
   Duration discovery_delay{0};
   std::size_t max_requests = 400;
@@ -202,6 +201,7 @@
   // another instance could continue the stream.
   void record_stream_event(Request& r);
   [[nodiscard]] bool watches_silence(const Request& r) const;
+  [[nodiscard]] bool may_continue_elsewhere(const Request& r) const;
 
   // The end of this process, in shutdown.cpp.
   Task follow_stream(Request& r);
--- a/src/core/ports.hpp
+++ b/src/core/ports.hpp
@@ -20,6 +20,10 @@
 using eiderarch::Time;
 using eiderarch::Tokens;
 
+// Silence of an instance within its answer after which it counts as lost. The client hears of it within 5 s
+// of the last event, also from a process that is held up for 0.15 s.
+constexpr Duration kMaxAnswerSilence{4'850'000};
+
 // A request as its front received it. Opaque to the core, which passes it to the instances unchanged.
 struct Payload;
 using PayloadPtr = std::shared_ptr<const Payload>;
@@ -183,6 +187,8 @@
  public:
   virtual ~Attempt() = default;
   [[nodiscard]] virtual Progress progress() const = 0;
+  // Whether a part of the answer has arrived that the loop has not yet reported.
+  [[nodiscard]] virtual bool has_unread_input() const { return false; }
   // Stops or resumes reading, so that the instance's sending is blocked by flow control.
   virtual void pause(bool /*on*/) {}
   // The instance's connection in the middle of a stream; nullopt if it cannot be passed on in its present
--- a/src/core/stream.cpp
+++ b/src/core/stream.cpp
@@ -11,7 +11,9 @@
 
 namespace {
 
-constexpr Duration kLostInstanceStallLimit = 3s;  // stall limit of a stream whose instance has left the list
+// Stall limit of a stream that another instance may continue, once its instance has left the list.
+constexpr Duration kLostInstanceStallLimit = 3s;
+constexpr Duration kUnreadInputDelay = 10ms;  // until a delayed loop has reported input that has arrived
 
 }  // namespace
 
@@ -46,11 +48,16 @@
     r.silent_since = scheduler_.now();
     start_stall_timer(r, settings_.stall_limit);
   } else if (std::holds_alternative<InstanceLost>(event)) {
-    // A vanished machine sends no reset. An earlier end of the wait for its next event stays.
+    // A vanished machine sends no reset. One that is off the list may still finish its stream, so the wait
+    // for its next event is shortened only where nothing is lost by it.
     const bool ends_sooner =
         r.stall_timer != nullptr && r.stalled_at <= scheduler_.now() + kLostInstanceStallLimit;
-    if (!ends_sooner) start_stall_timer(r, kLostInstanceStallLimit);
+    if (!ends_sooner && may_continue_elsewhere(r)) start_stall_timer(r, kLostInstanceStallLimit);
   } else if (std::holds_alternative<StreamStalled>(event)) {
+    if (r.attempt && r.attempt->has_unread_input()) {
+      start_stall_timer(r, kUnreadInputDelay);
+      return std::nullopt;
+    }
     if (watches_silence(r)) {
       const Duration silent = scheduler_.now() - *r.last_event;
       const Duration more = failure_detector_.time_until_lost(r.instance, scheduler_.now(), silent);
@@ -118,8 +125,10 @@
   r.stall_timer = scheduler_.at(r.stalled_at, [&r] { r.inbox.push(StreamStalled{}); });
 }
 
-bool Conductor::watches_silence(const Request& r) const {
-  return r.last_event && repeat_safe(r) && r.reply->may_continue_answer();
+bool Conductor::watches_silence(const Request& r) const { return r.last_event && may_continue_elsewhere(r); }
+
+bool Conductor::may_continue_elsewhere(const Request& r) const {
+  return repeat_safe(r) && r.reply->may_continue_answer();
 }
 
 void Conductor::record_stream_event(Request& r) {
--- a/src/net/instances/instance_client.cpp
+++ b/src/net/instances/instance_client.cpp
@@ -29,8 +29,6 @@
 constexpr std::size_t kMaxEventBytes = 2 * 1024 * 1024;
 // Of a stream, held back until its first event is complete.
 constexpr std::size_t kMaxUnsentPrefixBytes = 16 * 1024;
-// Between two pieces of an answer that is not streamed, as for a stream that has fallen silent.
-constexpr Duration kMaxAnswerSilence = 4s;
 // How long a response may take to end after [DONE], so that its connection can be kept.
 constexpr Duration kGraceAfterDone = 250ms;
 
@@ -169,6 +167,7 @@
   }
   [[nodiscard]] Progress progress() const override { return exchange_.progress(); }
   void pause(bool on) override { exchange_.pause(on); }
+  [[nodiscard]] bool has_unread_input() const override { return exchange_.has_unread_input(); }
 
  private:
   bool may_write() override { return may_write_(); }
@@ -183,7 +182,7 @@
   }
   // Until an answer that is not streamed begins, only the request's deadline limits the wait for it.
   void on_body_part(std::string_view bytes) {
-    end_timer_ = loop_.at(loop_.now() + kMaxAnswerSilence, [this] { on_end(ExchangeEnd::timed_out); });
+    end_timer_ = loop_.at(loop_.now() + core::kMaxAnswerSilence, [this] { on_end(ExchangeEnd::timed_out); });
     if (body_.size() + bytes.size() <= max_body_) {
       body_ += bytes;
     } else {
@@ -240,7 +239,7 @@
     AttemptResult result;
     result.progress = exchange_.progress();
     result.closed_here = exchange_.closed_here();
-    result.verdict = verdict(complete && !too_large_);
+    result.verdict = verdict(end);
     result.report = scanner_.report();
     result.ended_by_error_event = scanner_.failed();
     result.answer_end = answer_end(end, result.verdict);
@@ -284,8 +283,11 @@
     if (dialect_ == Dialect::platform) return !taken_over_ && !is_stream(response);
     return streamed_ ? is_json(response) : is_stream(response);
   }
-  // An error status is final even if the body breaks off; a stream and a prefill result must be complete.
-  [[nodiscard]] Verdict verdict(bool complete) const {
+  // An error status is final even if the body breaks off. A stream must be complete. The body of a prefill
+  // result only informs, so one that comes slowly is not waited for; a connection that breaks may take the
+  // result along.
+  [[nodiscard]] Verdict verdict(ExchangeEnd end) const {
+    const bool complete = end == ExchangeEnd::complete && !too_large_;
     const ResponseParser& response = exchange_.response();
     if (!response.has_head()) return Verdict::broken;
     const int status = response.status();
@@ -297,7 +299,10 @@
     if (dialect_ == Dialect::openai) {
       if (status == 429) return Verdict::busy;  // rate limit, applied before any work
     } else {
-      if (status == 202) return complete ? Verdict::state_held : Verdict::broken;
+      if (status == 202) {
+        const bool slow = end == ExchangeEnd::timed_out && !too_large_;
+        return complete || slow ? Verdict::state_held : Verdict::broken;
+      }
       if (status == 410 && not_executed) return Verdict::no_state;
     }
     const bool client_error = status >= 400 && status < 500 && status != 408 && status != 429;
--- a/src/net/instances/instance_pool.cpp
+++ b/src/net/instances/instance_pool.cpp
@@ -4,6 +4,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 
@@ -22,10 +23,6 @@
 namespace {
 
 constexpr int kSendBufferBytes = 32 * 1024;
-// From the first byte of a response head to its last. Heads normally arrive at once; without this limit, an
-// unfinished one would hold its request until the deadline.
-constexpr core::Duration kHeadTimeout{500'000};
-
 // Quarantine of a pooled connection after a response. An instance that answers twice does so within a few
 // milliseconds, and a duplicate read after the next request was sent would be taken for that request's
 // response: another request's events would reach the client, and a duplicated prefill result would start a
@@ -35,6 +32,9 @@
 constexpr core::Duration kQuarantine = 50ms;
 // From the head to the end of a response that is no stream: the body of a refusal is not worth waiting for.
 constexpr core::Duration kBodyTimeout{500'000};
+// The same for the result of a prefill, whose cache is held meanwhile.
+constexpr core::Duration kPrefillBodyTimeout{200'000};
+constexpr int kPrefillDone = 202;
 
 // Whether the connection is open with nothing to read. One that the server has closed must not be reused.
 bool open_without_input(bufferevent* connection) {
@@ -202,6 +202,13 @@
   }
 }
 
+bool Exchange::has_unread_input() const {
+  if (connection_ == nullptr) return false;
+  int unread = 0;
+  ioctl(bufferevent_getfd(connection_.get()), FIONREAD, &unread);
+  return unread > 0 || evbuffer_get_length(bufferevent_get_input(connection_.get())) > 0;
+}
+
 void Exchange::on_output_written() {
   if (progress_ != Progress::unwritten) return;
   progress_ = Progress::written;
@@ -218,13 +225,9 @@
   const std::size_t used = parser_.feed(bytes, body);
   if (parser_.state() == ResponseParser::State::bad) return finish(ExchangeEnd::malformed);
   const bool head = parser_.has_head();
-  if (head ? parser_.status() != 200 : parser_.within_head()) {
-    if (!timeout_ || (head && progress_ < Progress::head)) {
-      timeout_ = pool_.loop_.at(pool_.loop_.now() + (head ? kBodyTimeout : kHeadTimeout),
-                                [this] { finish(ExchangeEnd::timed_out); });
-    }
-  } else {
-    timeout_.reset();
+  if (head && parser_.status() != 200 && !timeout_) {
+    const core::Duration limit = parser_.status() == kPrefillDone ? kPrefillBodyTimeout : kBodyTimeout;
+    timeout_ = pool_.loop_.at(pool_.loop_.now() + limit, [this] { finish(ExchangeEnd::timed_out); });
   }
   // The response came before the whole request was sent. The rest must not be read as the next request.
   const bool early = progress() <= Progress::unwritten;
--- a/src/net/instances/instance_pool.hpp
+++ b/src/net/instances/instance_pool.hpp
@@ -73,6 +73,7 @@
   [[nodiscard]] core::Progress progress() const;
   // Pauses (true) or resumes (false) reading from the connection.
   void pause(bool on);
+  [[nodiscard]] bool has_unread_input() const;
   [[nodiscard]] const ResponseParser& response() const { return parser_; }
   // Whether this side closed the connection: the response was incomplete and the other side had not closed.
   [[nodiscard]] bool closed_here() const { return closed_here_; }
