Test a delayed loop's unread event, and large requests that are read slowly

The first fails without Attempt::has_unread_input: the core gives the stream up beside an event that has arrived.

--- a/tests/core_fixture.hpp
+++ b/tests/core_fixture.hpp
@@ -34,6 +34,7 @@
       owner.attempt = nullptr;
     }
     [[nodiscard]] Progress progress() const override { return current_progress; }
+    [[nodiscard]] bool has_unread_input() const override { return owner.unread_input; }
   };
   std::unique_ptr<Attempt> start(const Target& target, const PayloadPtr&, Time not_after, ConnectionTerms,
                                  std::function<bool()> may_write, AttemptEvents& events) override {
@@ -74,6 +75,7 @@
 
   EventLog log;
   FakeAttempt* attempt = nullptr;
+  bool unread_input = false;  // of all attempts
   std::vector<std::function<void(ReservationAnswer)>> reservations;
   std::function<bool()> may_reserve;
   std::vector<std::function<bool()>> may_release;  // in the order of the calls, as are `releases`
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -643,6 +643,25 @@
   CHECK(w.conductor->open_requests() == 0);
 }
 
+TEST_CASE("Core: a stream is not given up while an event that has arrived in time lies unread") {
+  CoreFixture w;
+  w.list_instance("w", 2);
+  w.send_request(1, 100);
+  w.instances.finish_write();
+  w.instances.attempt->events.on_data("x");
+  w.time.run_ready();
+  w.instances.unread_input = true;
+  w.time.advance(4900ms);
+  CHECK(w.answers == EventLog{"begin", "x"});
+  w.instances.unread_input = false;
+  w.instances.attempt->events.on_data("y");
+  w.time.run_ready();
+  w.time.advance(4500ms);
+  CHECK(w.answers == EventLog{"begin", "x", "y"});
+  w.time.advance(400ms);
+  CHECK(w.answers == EventLog{"begin", "x", "y", "abort"});
+}
+
 TEST_CASE(
     "Fleet: a start in the future counts from when it was received and only a different start is a restart") {
   Fleet fleet;
--- a/tests/integration/slow_server_test.cpp
+++ b/tests/integration/slow_server_test.cpp
@@ -131,3 +131,28 @@
   CHECK(seen.count("asked") == 1);
   CHECK(seen.count("decoded") == 1);
 }
+
+TEST_CASE(
+    "Slow: a large request that its instance reads slowly or not at all is answered in its client's time") {
+  constexpr auto kClientTime = 2500ms;
+  constexpr int kReceiveBuffer = 4096;
+  const std::string body(200 * 1024, 'x');
+  for (const std::size_t bytes_at_once : {std::size_t(0), std::size_t(1024)}) {
+    CAPTURE(bytes_at_once);
+    ScriptedServer instance(
+        [&](TestConnection& wire) {
+          if (bytes_at_once == 0) (void)wire.closed_within(10000);
+          while (bytes_at_once > 0 && !wire.receive_bytes(bytes_at_once).empty())
+            std::this_thread::sleep_for(100ms);
+        },
+        kReceiveBuffer);
+    Platform platform({{"w", "mixto", instance.address()}});
+    for (const char* lane : {"consulta", "ajuste"}) {
+      const auto begun = Clock::now();
+      const std::string answer =
+          platform.ask(client_request(std::string("t-") + lane, lane, kClientTime.count(), 100, "", body));
+      CHECK(answer.starts_with("HTTP/1.1 50"));
+      CHECK(Clock::now() - begun < kClientTime + kSlack + 150ms);
+    }
+  }
+}
