Remember the ids of requests that may have run, beyond their end and in all processes

Cause: OpenRequestIds knew an id only while its request was open (PlatformReply's destructor releases it); docs/crossings.md said so, 'nothing stops it'.

Change: before the first byte of an attempt that may execute a request of a class that must not be repeated, its id goes into a table of fixed size (ExecutedIdTable: 32,768 hashes, 256 KiB); if the attempt proves not to have run, it is taken out. An id in the table gets 409 and a log line, whatever class it comes with. With a passed socket the table is a file, too, that all processes of the conductor share; it outlives them, so that a kill in the middle of an execution is covered. A file that can't be used is logged, and each process knows its own ids. At the bound a bucket of 32 forgets its oldest id. Without a passed socket nothing lasts over a restart (docs/crossings.md, 'Not shown').

Two older tests asked for the fault, that the same ajuste's id is served again after its end ('During an upgrade the id of a request ...', 'Faulty requests of one client ...'): they want 409 now, and a count of executions. Their other end, that the conductor goes on serving, is held by a new id.

--- a/src/app/stream_handover.cpp
+++ b/src/app/stream_handover.cpp
@@ -44,6 +44,12 @@
     log::write("handover",
                std::string("ids of open requests can't be shared with other processes: ") + error.what());
   }
+  try {
+    front_.open_ids().share_executed(path + "-executed");
+  } catch (const std::runtime_error& error) {
+    log::write("handover",
+               std::string("ids that may have run can't be shared with other processes: ") + error.what());
+  }
 }
 
 void StreamHandover::take_over_stream(operations::HandedOverStream passed) {
--- a/src/core/conductor.hpp
+++ b/src/core/conductor.hpp
@@ -93,6 +93,9 @@
   RequestId take_over(const RunningStream& stream, std::unique_ptr<ClientReply> reply,
                       const MakeAttempt& make);
 
+  // Whether requests of this class may be executed more than once. A class that the settings do not name may
+  // not.
+  [[nodiscard]] bool repeat_safe(std::uint32_t request_class) const;
   [[nodiscard]] std::size_t open_requests() const { return requests_.size(); }
   [[nodiscard]] std::size_t max_requests() const { return settings_.max_requests; }
   // Whether something held has not been released yet, at any instance.
@@ -176,6 +179,7 @@
   // Final check against a repeat that the class forbids: the repeat is not sent, and the request fails.
   bool may_execute_again(Request& r, EngineId instance);
   void fail_forbidden_repeat(Request& r);
+  [[nodiscard]] eiderarch::RequestClass class_settings(std::uint32_t request_class) const;
   [[nodiscard]] eiderarch::RequestClass request_class(const Request& r) const;
   [[nodiscard]] bool repeat_safe(const Request& r) const;
   void refuse(Request& r, Ending::Cause cause, Duration stay_away = {});
--- a/src/core/request_lifecycle.cpp
+++ b/src/core/request_lifecycle.cpp
@@ -424,14 +424,21 @@
   r.inbox.push(HeldOverdue{});
 }
 
+bool Conductor::repeat_safe(std::uint32_t request_class) const {
+  return class_settings(request_class).effect == eiderarch::Effect::safe;
+}
+
 bool Conductor::repeat_safe(const Request& r) const {
-  return request_class(r).effect == eiderarch::Effect::safe;
+  return repeat_safe(r.client_request.facts.request_class);
+}
+
+eiderarch::RequestClass Conductor::class_settings(std::uint32_t request_class) const {
+  const auto& classes = settings_.module.classes;
+  return request_class < classes.size() ? classes[request_class] : eiderarch::RequestClass{};
 }
 
-// A class that the settings do not name must not be repeated.
 eiderarch::RequestClass Conductor::request_class(const Request& r) const {
-  const std::uint32_t cls = r.client_request.facts.request_class;
-  return cls < settings_.module.classes.size() ? settings_.module.classes[cls] : eiderarch::RequestClass{};
+  return class_settings(r.client_request.facts.request_class);
 }
 
 // Whether an attempt there has no effect. The list and the module must agree, because an entry's kind may
--- a/src/net/platform/platform_front.cpp
+++ b/src/net/platform/platform_front.cpp
@@ -5,9 +5,11 @@
 #include <algorithm>
 #include <charconv>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <optional>
 
 #include "codec.hpp"
+#include "log/log.hpp"
 #include "net/http/http_reply.hpp"
 #include "net/http/payload.hpp"
 
@@ -107,16 +109,26 @@
   return ask;
 }
 
-// Releases the request's id once the final answer is sent. The id of a stream that another process continues
+// Releases the request's id once the final answer is sent, and remembers the id of a request that must not be
+// executed again. The id of a stream that another process continues
 // stays reserved here until this process ends: the other one may not have read it yet.
 class PlatformReply : public HttpReply {
  public:
   PlatformReply(std::unique_ptr<IncomingRequest> incoming, std::shared_ptr<OpenRequestIds> open,
-                std::string name)
-      : HttpReply(std::move(incoming)), open_ids_(std::move(open)), name_(std::move(name)) {}
+                std::string name, bool repeat_safe)
+      : HttpReply(std::move(incoming)),
+        open_ids_(std::move(open)),
+        name_(std::move(name)),
+        repeat_safe_(repeat_safe) {}
   ~PlatformReply() override {
     if (!handed_over_) open_ids_->release(name_);
   }
+  void on_sending() override {
+    if (!repeat_safe_ && executions_++ == 0) open_ids_->note_execution(name_);
+  }
+  void on_not_executed() override {
+    if (!repeat_safe_ && --executions_ == 0) open_ids_->forget_execution(name_);
+  }
   // A stream of the platform protocol needs no state but its bytes to be continued.
   [[nodiscard]] std::optional<core::HandoverState> handover_state() const override {
     return incoming_->handover_state();
@@ -129,6 +141,8 @@
  private:
   std::shared_ptr<OpenRequestIds> open_ids_;
   std::string name_;
+  bool repeat_safe_;
+  int executions_ = 0;  // attempts that may have executed the request
   bool handed_over_ = false;
 };
 
@@ -160,9 +174,18 @@
     incoming->answer(409, {}, "a request with this X-Txn is open\n");
     return;
   }
+  if (open_ids_->may_have_run(name)) {
+    open_ids_->release(name);
+    log::write("request", "an id that came again is not executed again", [&]() -> nlohmann::json {
+      return {{"request_id", name}};
+    });
+    incoming->answer(409, {}, "a request with this X-Txn may have run\n");
+    return;
+  }
   IncomingRequest& client = *incoming;
+  const bool repeat_safe = conductor_.repeat_safe(ask.facts.request_class);
   const core::RequestId id = conductor_.accept(
-      std::move(ask), std::make_unique<PlatformReply>(std::move(incoming), open_ids_, name));
+      std::move(ask), std::make_unique<PlatformReply>(std::move(incoming), open_ids_, name, repeat_safe));
   if (id != 0) client.on_disconnect([this, id] { conductor_.client_gone(id); });
 }
 
@@ -181,8 +204,10 @@
   // Registered first: if the attempt cannot be created, the request ends before its id is known here.
   auto id = std::make_shared<core::RequestId>(0);
   incoming->on_disconnect([this, id] { conductor_.client_gone(*id); });
-  *id = conductor_.take_over(stream, std::make_unique<PlatformReply>(std::move(incoming), open_ids_, name),
-                             make);
+  const bool repeat_safe = conductor_.repeat_safe(stream.client_request.facts.request_class);
+  if (!repeat_safe) open_ids_->note_execution(name);  // a process before may not have shared it
+  *id = conductor_.take_over(
+      stream, std::make_unique<PlatformReply>(std::move(incoming), open_ids_, name, repeat_safe), make);
 }
 
 }  // namespace bankmux::net
--- a/tests/integration/operations_test.cpp
+++ b/tests/integration/operations_test.cpp
@@ -9,9 +9,9 @@
 #include <filesystem>
 #include <thread>
 
+#include "managed_conductor.hpp"
 #include "net/handover/request_id_locks.hpp"
 #include "net/handover/stream_socket.hpp"
-#include "platform_fixture.hpp"
 
 using namespace integration;
 
@@ -28,43 +28,6 @@
   };
 }
 
-// A platform conductor with a management address, optionally on a passed listening socket.
-struct ManagedConductor {
-  explicit ManagedConductor(const std::vector<Platform::Instance>& known, bool passed = false)
-      : socket(passed ? listening_socket(listen) : -1), platform(known, site_settings(), environment()) {
-    REQUIRE(Program::listens(mgmt));
-  }
-  ~ManagedConductor() {
-    if (socket >= 0) close(socket);
-    std::filesystem::remove_all(directory);
-  }
-  std::map<std::string, std::string> environment() {
-    REQUIRE(mkdtemp(directory) != nullptr);
-    std::map<std::string, std::string> all{
-        {"PROXY_MGMT", mgmt}, {"PROXY_LISTEN", listen}, {"TMPDIR", directory}};
-    if (socket >= 0) all["PROXY_PASSED_SOCKET"] = std::to_string(socket);
-    return all;
-  }
-  static std::string call(const std::string& at, const std::string& line, const std::string& headers = "") {
-    const auto wire = TestConnection::to(at);
-    if (wire == nullptr) return "";
-    wire->send(line + " HTTP/1.1\r\nHost: x\r\n" + headers + "\r\n");
-    return wire->receive_all();  // the server closes the connection after one request
-  }
-  int status(const std::string& line) { return std::atoi(call(mgmt, line).substr(9, 3).c_str()); }
-  long metric(const std::string& name) {
-    const std::string text = call(mgmt, "GET /-/metrics");
-    const std::size_t at = text.find("svc." + name + "=");
-    return at == std::string::npos ? -1 : std::atol(text.c_str() + at + name.size() + 5);
-  }
-  std::string ask(const std::string& txn) { return platform.ask(client_request(txn, "consulta", 5000, 100)); }
-
-  std::string listen = unique_address(), mgmt = unique_address();
-  char directory[32] = "/tmp/bankmux-ops-XXXXXX";
-  int socket;
-  Platform platform;
-};
-
 }  // namespace
 
 TEST_CASE("The management address answers only its own calls and silent connections do not block it") {
@@ -244,24 +207,6 @@
   return text;
 }
 
-// A request without "Connection: close".
-std::string keep_alive_request(const std::string& txn) {
-  std::string text = client_request(txn, "ajuste", 5000, 100);
-  const std::string close = "Connection: close\r\n";
-  return text.erase(text.find(close), close.size());
-}
-
-// Starts the next process and waits until it is ready.
-std::unique_ptr<Program> next_version(const ManagedConductor& conductor, const std::string& second) {
-  auto next = conductor.platform.start({{"PROXY_MGMT", second}});
-  REQUIRE(Program::listens(second));
-  for (int i = 0; i < 300 && !ManagedConductor::call(second, "GET /-/ready").starts_with("HTTP/1.1 200");
-       ++i) {
-    std::this_thread::sleep_for(std::chrono::milliseconds(20));
-  }
-  return next;
-}
-
 }  // namespace
 
 TEST_CASE("Running streams and their client connections continue in the next process without loss") {
@@ -356,7 +301,8 @@
   CHECK(chunk_contents(begun + stream->receive_until("0\r\n\r\n")) ==
         "data: 1\n\ndata: 2\n\ndata: [DONE]\n\n");
   CHECK(at_next->receive_until("0\r\n\r\n").ends_with("0\r\n\r\n"));
-  CHECK(status_of("of-old") == "HTTP/1.1 200");
+  CHECK(status_of("of-old") == "HTTP/1.1 409");
+  CHECK(seen.count("asked") == 2);
   next->terminate();
   CHECK(next->wait() == 0);
 }
--- a/tests/integration/platform_protocol_test.cpp
+++ b/tests/integration/platform_protocol_test.cpp
@@ -556,6 +556,7 @@
 TEST_CASE(
     "A malformed response is a failed attempt that may have run, and malformed input "
     "after the first event ends the stream") {
+  constexpr int kClientTimeMs = 5000;
   EventLog seen;
   const std::map<std::string, std::string> spoilt = {
       {"noise", "\x16\x03 noise"},
@@ -574,7 +575,8 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(200));
         wire.send("zz\r\n");
       }
-      if (wire.closed_within(4000)) seen.add("closed");
+      // A head that has begun is waited for as long as the client waits.
+      if (wire.closed_within(kind == "unending" ? kClientTimeMs + 200 : 4000)) seen.add("closed");
       return false;
     }
     // Surplus responses: an interim one before the answer, a second answer after it.
@@ -586,13 +588,13 @@
     CAPTURE(kind);
     Platform platform({{"a", "mixto", one.address()}, {"b", "mixto", two.address()}});
     seen.clear();
-    const std::string safe = platform.ask(client_request("c-" + kind, "consulta", 5000, 100));
+    const std::string safe = platform.ask(client_request("c-" + kind, "consulta", kClientTimeMs, 100));
     CHECK(seen.wait_for("closed"));
     CHECK(seen.count(kChat) == (kind == "late" ? 1 : 2));
     CHECK(safe.ends_with("0\r\n\r\n") == (kind != "late"));
     CHECK_FALSE(contains_text(safe, "stray"));
     seen.clear();
-    const std::string once = platform.ask(client_request("a-" + kind, "ajuste", 5000, 100));
+    const std::string once = platform.ask(client_request("a-" + kind, "ajuste", kClientTimeMs, 100));
     CHECK(seen.wait_for("closed"));
     CHECK(seen.count(kChat) == 1);
     CHECK(once.starts_with(kind == "late" ? "HTTP/1.1 200" : "HTTP/1.1 502"));
@@ -650,7 +652,9 @@
   go_on = true;
   CHECK(open->receive_all().ends_with("0\r\n\r\n"));
   CHECK(seen.count(kChat) == 6);
-  CHECK(platform.ask(client_request("w", "ajuste", 5000, 100)).starts_with("HTTP/1.1 200"));
+  CHECK(platform.ask(client_request("w", "ajuste", 5000, 100)).starts_with("HTTP/1.1 409"));
+  CHECK(platform.ask(client_request("next", "ajuste", 5000, 100)).starts_with("HTTP/1.1 200"));
+  CHECK(seen.count(kChat) == 7);
 }
 
 TEST_CASE("SIGHUP: a faulty file changes nothing, a valid one moves the watch, and no request is lost") {
--- a/tests/open_request_ids_test.cpp
+++ b/tests/open_request_ids_test.cpp
@@ -2,11 +2,16 @@
 // two.
 #include "net/platform/open_request_ids.hpp"
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
 #include <optional>
+#include <stdexcept>
 
 #include "integration/peers.hpp"
 
+using bankmux::net::ExecutedIdTable;
 using bankmux::net::OpenRequestIds;
 using bankmux::net::RequestIdLocks;
 
@@ -84,3 +89,73 @@
   alone.release("a");
   CHECK(alone.reserve("a"));
 }
+
+TEST_CASE(
+    "Executed ids: what a process has noted is known to all that share the file, and to their successors") {
+  const std::string path = integration::temporary_file("");
+  std::optional<ExecutedIdTable> first(std::in_place), second(std::in_place);
+  first->add("before sharing is known here alone");
+  first->share(path);
+  second->share(path);
+  first->add("a");
+  second->add("b");
+  CHECK(first->contains("b"));
+  CHECK(second->contains("a"));
+  CHECK(first->contains("before sharing is known here alone"));
+  first->remove("a");
+  CHECK_FALSE(second->contains("a"));
+  CHECK_FALSE(second->contains("c"));
+  first.reset();
+  second.reset();
+  ExecutedIdTable successor;
+  CHECK_FALSE(successor.contains("b"));
+  successor.share(path);
+  CHECK(successor.contains("b"));
+}
+
+TEST_CASE("Executed ids: under ever new ids the table keeps its size, and the latest ids are known") {
+  constexpr int kIds = 200'000, kLatest = 10'000;
+  ExecutedIdTable table;
+  const auto id = [](int i) { return "id-" + std::to_string(i); };
+  for (int i = 0; i < kIds; ++i) table.add(id(i));
+  int known = 0, unknown = 0;
+  for (int i = kIds - kLatest; i < kIds; ++i) known += table.contains(id(i)) ? 1 : 0;
+  for (int i = kIds; i < kIds + kLatest; ++i) unknown += table.contains(id(i)) ? 0 : 1;
+  CHECK(known == kLatest);
+  CHECK(unknown == kLatest);
+  CHECK_FALSE(table.contains(id(0)));
+}
+
+TEST_CASE("Executed ids: a file that cannot be shared is refused, and the process knows its own ids") {
+  ExecutedIdTable table;
+  CHECK_THROWS_AS(table.share(integration::temporary_file("no table")), std::runtime_error);
+  CHECK_THROWS_AS(table.share("/nonexistent/table"), std::runtime_error);
+  table.add("a");
+  CHECK(table.contains("a"));
+}
+
+TEST_CASE("Executed ids: a process that was stopped within an update does not hold up the others") {
+  const std::string path = integration::temporary_file("");
+  ExecutedIdTable table;
+  table.share(path);
+  const int stopped = open(path.c_str(), O_RDWR | O_CLOEXEC);
+  struct flock all {};
+  all.l_type = F_WRLCK;
+  all.l_whence = SEEK_SET;
+  REQUIRE(fcntl(stopped, F_OFD_SETLK, &all) == 0);
+  table.add("a");
+  ExecutedIdTable other;
+  other.share(path);
+  CHECK(other.contains("a"));
+  close(stopped);
+}
+
+TEST_CASE("Executed ids: a full or failing disk leaves each process its own ids") {
+  const std::string path = integration::temporary_file("");
+  ExecutedIdTable table;
+  table.share(path);
+  REQUIRE(truncate(path.c_str(), 0) == 0);  // every read comes short
+  table.add("a");
+  CHECK(table.contains("a"));
+  CHECK_FALSE(table.contains("b"));
+}
