Let the soak's servers end streams well that are not whole, and check what their clients hear

Three in a hundred answers of its decode instances, by the request's id, end after half of their events with a well-formed response. The history reports a client that got such an answer as a whole one.

--- a/tests/faults/history.cpp
+++ b/tests/faults/history.cpp
@@ -176,11 +176,14 @@
       explained |= event.kind == Kind::client_disconnected;
       if (event.kind == Kind::client_unanswered) {
         explained = true;  // reported as a violation of its own
-        if (event.detail == kBrokenStream && cut_by_fault(events, event.at)) continue;
+        const bool broken_at_server = cut_by_fault(events, event.at) || ended_in_part(events, event.at);
+        if (event.detail == kBrokenStream && broken_at_server) continue;
         report_violation("lost", "connection ended without an answer: " + event.detail, event.at - sent->at);
       }
       if (event.kind != Kind::client_answered) continue;
       ++answers;
+      if (event.number == 200 && ended_in_part(events, event.at))
+        report_violation("lost", "a stream that was not whole was ended as if it were", event.at - sent->at);
       const double overdue = event.at - sent->at - sent->number;
       if (event.number != 200 && overdue > limits_.answer_slack)
         report_violation("lost", "answered late", overdue);
@@ -229,6 +232,15 @@
     return taken != events.rend() && server_faults_.affected(taken->server, taken->at, until);
   }
 
+  // Whether the last attempt to end by that time answered in part only.
+  static bool ended_in_part(const std::vector<HistoryEvent>& events, double until) {
+    const HistoryEvent* last = nullptr;
+    for (const HistoryEvent& event : events) {
+      if (event.kind == Kind::attempt_ended && event.at <= until) last = &event;
+    }
+    return last != nullptr && last->detail == kPartialAnswer;
+  }
+
   RuleLimits limits_;
   const ServerFaults& server_faults_;
   double end_;
--- a/tests/faults/history.hpp
+++ b/tests/faults/history.hpp
@@ -38,6 +38,8 @@
   double number = 0.0;
 };
 
+// Detail of attempt_ended if the server ended its response well, but not its answer.
+inline const std::string kPartialAnswer = "partial answer";
 // Detail of client_unanswered if the connection ended within the answer.
 inline const std::string kBrokenStream = "broken within its answer";
 
--- a/tests/faults/soak.cpp
+++ b/tests/faults/soak.cpp
@@ -33,6 +33,7 @@
 constexpr double kMaxPause = 0.15;      // longest pause in seconds of a conductor process
 constexpr int kClients = 5;             // per conductor
 constexpr int kCrowdClients = 60;       // per conductor, in crowded runs
+constexpr int kPartialAnswerPercent = 3;
 
 using Random = std::mt19937;
 
@@ -442,6 +443,7 @@
   service_times.first_token_max = service_times.first_token_min + draw_int(random, 0, 500);
   service_times.events = draw_int(random, 1, 8);
   service_times.between_events = draw_int(random, 2, 30);
+  service_times.partial_percent = kPartialAnswerPercent;
   SimulatedPlatform servers(draw_int(random, 2, 4), draw_int(random, 3, 5), service_times, settings.seed);
   std::vector<std::unique_ptr<Conductor>> conductors;
   for (int i = 0; i < settings.conductors; ++i) {
--- a/tests/faults/stand_in_platform.cpp
+++ b/tests/faults/stand_in_platform.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <functional>
 #include <thread>
 #include <utility>
 
@@ -116,13 +117,17 @@
   bool disconnected = wire.closed_within(
       platform_.random_between(service_times.first_token_min, service_times.first_token_max));
   if (!disconnected) wire.send(integration::stream_head());
-  for (int i = 0; i < service_times.events && !disconnected; ++i) {
+  // By the id, so that the faults that a seed draws do not depend on it.
+  const bool partial = int(std::hash<std::string>{}(id) % 100) < service_times.partial_percent;
+  const int events = partial ? service_times.events / 2 : service_times.events;
+  for (int i = 0; i < events && !disconnected; ++i) {
     wire.send(integration::chunk("data: {\"n\":" + std::to_string(i) + "}\n\n"));
     disconnected = wire.closed_within(service_times.between_events);
   }
-  platform_.history_.add(Kind::attempt_ended, id, id_, disconnected ? "cancelled" : "served");
+  const std::string end = partial ? kPartialAnswer : "served";
+  platform_.history_.add(Kind::attempt_ended, id, id_, disconnected ? "cancelled" : end);
   if (disconnected) return false;
-  wire.send(integration::chunk("data: [DONE]\n\n") + "0\r\n\r\n");
+  wire.send((partial ? "" : integration::chunk("data: [DONE]\n\n")) + "0\r\n\r\n");
   return true;
 }
 
--- a/tests/faults/stand_in_platform.hpp
+++ b/tests/faults/stand_in_platform.hpp
@@ -21,6 +21,8 @@
   int prefill_min = 20, prefill_max = 20;
   int first_token_min = 20, first_token_max = 20;
   int events = 4, between_events = 5;
+  // Of the answers of decode instances, end after half of their events, with a response that is well formed.
+  int partial_percent = 0;
 };
 
 class SimulatedPlatform;
