--- a/src/sse/stream_scanner.cpp
+++ b/src/sse/stream_scanner.cpp
@@ -99,8 +99,8 @@
   add_data_line(text);
 }
 
-// Several data lines form one text, joined by LF. It is inspected again with every line, because an error counts
-// before its event is complete.
+// Several data lines form one text, joined by LF. It is inspected again with every line, because an error
+// counts before its event is complete.
 void StreamScanner::add_data_line(std::string_view text) {
   if (++state_.data_lines > 1) state_.data += '\n';
   state_.event_too_long |=
