--- a/src/net/instances/instance_client.cpp
+++ b/src/net/instances/instance_client.cpp
@@ -42,9 +42,10 @@
   return false;
 }
 
-// The request body is sent decoded, and an encoded response could not be inspected.
-bool is_coding_header(std::string_view name) {
-  return same_name(name, "Content-Encoding") || same_name(name, "Accept-Encoding");
+// An encoded answer could not be inspected. In the OpenAI dialect, the request body is sent decoded.
+bool is_coding_header(std::string_view name, Dialect dialect) {
+  const bool decoded = dialect == Dialect::openai && same_name(name, "Content-Encoding");
+  return decoded || same_name(name, "Accept-Encoding");
 }
 
 std::string request_head(const core::Target& target, const core::Payload& payload, Duration time_left,
@@ -57,7 +58,7 @@
     text += "\r\nX-Request-Id: " + payload.id;
   }
   for (const auto& [name, value] : payload.headers) {
-    if (is_hop_by_hop(name) || (dialect == Dialect::openai && is_coding_header(name))) continue;
+    if (is_hop_by_hop(name) || is_coding_header(name, dialect)) continue;
     text.append("\r\n").append(name).append(": ").append(value);
   }
   return text + "\r\nContent-Length: " + std::to_string(payload.body.size()) + "\r\n\r\n";
--- a/tests/integration/whole_answer_test.cpp
+++ b/tests/integration/whole_answer_test.cpp
@@ -177,6 +177,20 @@
   }
 }
 
+TEST_CASE("Whole: an instance is not asked for an encoded answer, whose end could not be seen") {
+  EventLog seen;
+  ScriptedServer instance(answering(seen, [&](TestConnection& wire, const Message& request) {
+    seen.add(request.headers.contains("accept-encoding") ? "encoded" : "plain");
+    seen.add(request.headers.at("content-encoding"));  // of the body, which is passed on unchanged
+    wire.send(framed(Framing::chunked, kEvents + kDone));
+    return true;
+  }));
+  Platform platform({{"w", "mixto", instance.address()}});
+  const std::string headers = "Accept-Encoding: gzip\r\nContent-Encoding: identity\r\n";
+  CHECK(is_whole(platform.ask(client_request("t", "ajuste", 5000, 100, headers))));
+  CHECK(seen.all() == std::vector<std::string>{"asked", "plain", "identity"});
+}
+
 TEST_CASE("Whole: an answer that only the connection's end delimits is broken by a reset") {
   EventLog seen;
   ScriptedServer instance(answering(seen, [&](TestConnection& wire, const Message&) {
