Log how a stream ended that another process had begun, and bound the record of choices

Read once more: the new process's log line of a taken-over stream had no trail, so that it could not say why it was cut off; it has its attempt now, without the times that the process before knows. The choices that have finished count as memory of the answer. Tests: the trail's end (failed before: the trail was empty), an end marker beside a line that is too long to be read, and the state of a version before this one.

--- a/src/core/request_record.hpp
+++ b/src/core/request_record.hpp
@@ -17,7 +17,7 @@
   Duration waited{0};  // how long its last byte had been here, unread, when the front accepted it
 };
 
-// One attempt of a request, part of its record. Times count from the request's arrival.
+// One attempt of a request, part of its record. Times count from the request's arrival; -1: not known here.
 struct AttemptRecord {
   std::string instance;
   bool prefill = false;
--- a/src/core/shutdown.cpp
+++ b/src/core/shutdown.cpp
@@ -87,6 +87,10 @@
   r.stall_timer.reset();
   r.attempt.reset();
   r.last_outcome = end->outcome;
+  // The process before has the attempt's times.
+  const Fleet::Member* member = fleet_.find(r.instance);
+  r.trail.push_back({member != nullptr ? member->target.id : "?", false, Duration{-1}, Duration{-1},
+                     scheduler_.now() - r.arrived, end->outcome, true, end->answer_end});
   if (!end_stream(r, *end)) {
     r.ending.ended_by_error_event = end->ended_by_error_event;
     break_off(r);
--- a/src/sse/stream_scanner.hpp
+++ b/src/sse/stream_scanner.hpp
@@ -17,6 +17,8 @@
 
 class StreamScanner {
  public:
+  // Memory of a finished choice: a node of a set.
+  static constexpr std::size_t kFinishedChoiceBytes = 48;
   // State between two calls of feed(), from which another scanner can continue, for example in the process
   // that takes the stream over.
   struct State {
@@ -32,9 +34,10 @@
   [[nodiscard]] const State& state() const { return state_; }
 
   void feed(std::string_view bytes);
-  // Memory in bytes that an incomplete line and the current event take.
+  // Memory in bytes that an incomplete line, the current event and the record of finished choices take.
   [[nodiscard]] std::size_t held_bytes() const {
-    return allocated_bytes(state_.line) + allocated_bytes(state_.data);
+    return allocated_bytes(state_.line) + allocated_bytes(state_.data) +
+           state_.finished_choices.size() * kFinishedChoiceBytes;
   }
   // Prompt tokens that the instance's KV cache already held, as reported in the usage; 0: none reported.
   [[nodiscard]] eiderarch::Tokens reported_cached_tokens() const { return reported_cached_tokens_; }
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -1,5 +1,6 @@
 // Handover of streams from one conductor process to its successor: the message format and the core's part.
 #include <rapidcheck.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <catch2/catch.hpp>
@@ -7,10 +8,11 @@
 
 #include "core/conductor.hpp"
 #include "fake_time.hpp"
-#include "integration/peers.hpp"
+#include "integration/platform_fixture.hpp"
 #include "net/http/http_server.hpp"
 #include "net/http/payload.hpp"
 #include "net/http/response_parser.hpp"
+#include "net/instances/instance_client.hpp"
 #include "operations/handover_message.hpp"
 #include "sse/stream_scanner.hpp"
 
@@ -136,6 +138,44 @@
   }
 }
 
+TEST_CASE(
+    "Whole: a stream that an earlier version handed over is whole by an end marker that comes after that") {
+  struct EndRecorder : core::AttemptEvents {
+    explicit EndRecorder(net::Loop& l) : loop(l) {}
+    void on_written() override {}
+    void on_data(std::string) override {}
+    void on_ended(core::AttemptResult ended) override {
+      result = std::move(ended);
+      loop.stop();
+    }
+    net::Loop& loop;
+    core::AttemptResult result;
+  };
+  const auto empty = nlohmann::json::binary({});
+  constexpr int kChunkSize = 4;  // the part of a body in which the stream was handed over
+  const nlohmann::json state = {
+      {"part", kChunkSize},  {"left", 0},        {"line", empty}, {"keep", true},      {"event_line", empty},
+      {"event_data", empty}, {"event_lines", 0}, {"skip", false}, {"after_cr", false}, {"failed", false}};
+  std::string text;
+  nlohmann::json::to_cbor(state, text);
+  for (const bool whole : {true, false}) {
+    CAPTURE(whole);
+    net::Loop loop;
+    EndRecorder events(loop);
+    net::InstanceClient client(loop, {}, net::Dialect::platform);
+    int sockets[2];
+    REQUIRE(socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0, sockets) == 0);
+    const auto attempt = client.take_over("", {sockets[0], text}, events);
+    REQUIRE(attempt != nullptr);
+    const integration::TestConnection instance(sockets[1]);
+    instance.send(integration::chunk(whole ? "data: [DONE]\n\n" : "data: 1\n\n") + "0\r\n\r\n");
+    const auto limit = loop.at(loop.now() + 2s, [&loop] { loop.stop(); });
+    loop.run();
+    CHECK(events.result.verdict == (whole ? core::Verdict::served : core::Verdict::broken));
+    CHECK(events.result.answer_end == (whole ? core::AnswerEnd::whole : core::AnswerEnd::no_end_marker));
+  }
+}
+
 // Guards against a handover that copied the unsent output wrongly: the response head arrived as zeros, and
 // the client could not read the answer.
 TEST_CASE("Unsent output of a client is handed over with its connection, response head included") {
@@ -232,6 +272,7 @@
   FakeInstances instances{log};
   std::unique_ptr<core::Conductor> conductor;
   std::vector<core::RequestRecord::Result> results;
+  std::vector<core::AttemptRecord> trail;  // of the last request to end
   Process() {
     core::ConductorSettings s;
     s.module.classes.resize(1);
@@ -243,7 +284,10 @@
     s.module.writers_read = true;
     conductor = std::make_unique<core::Conductor>(s, time, instances, instances,
                                                   [](const char*, const std::string&) {});
-    conductor->observe([this](const core::RequestRecord& record) { results.push_back(record.result); });
+    conductor->observe([this](const core::RequestRecord& record) {
+      results.push_back(record.result);
+      trail = record.trail;
+    });
     core::ListEntry listed;
     listed.id = "box";
     listed.entry.engine = 5;
@@ -325,6 +369,9 @@
     second.instances.current->events.on_data("b");
     silent ? second.time.advance(5s) : second.end_attempt(core::Verdict::broken);
     CHECK(second.log == Log{"b", "close", "abort"});
+    REQUIRE(second.trail.size() == 1);
+    CHECK(second.trail[0].instance == "box");
+    CHECK(second.trail[0].answer_end == (silent ? core::AnswerEnd::silent : core::AnswerEnd::none));
     second.time.advance(10s);
     CHECK(second.conductor->open_requests() == 0);
     CHECK(second.conductor->figures().attempts == 0);
--- a/tests/integration/whole_answer_test.cpp
+++ b/tests/integration/whole_answer_test.cpp
@@ -86,6 +86,8 @@
       {"an end marker as another field", kEvents + "id: [DONE]\n\n"},
       {"an end marker as output", "data: {\"choices\":[{\"delta\":{\"content\":\"data: [DONE]\"}}]}\n\n"},
       {"an end marker as one of two lines", kEvents + "data: [DONE]\ndata: more\n\n"},
+      {"an end marker as one of two lines, the other too long to be read",
+       kEvents + "data: [DONE]\ndata: " + std::string(100'000, 'x') + "\n\n"},
       {"an end marker after a mark of the byte order within the stream", kEvents + "\xEF\xBB\xBF" + kDone},
       {"the names of another format's last event",
        "data: {\"choices\":[{\"delta\":{\"tool_calls\":[{\"type\":\"function\",\"function\":{\"name\":"
